--- /dev/null
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/BurnCommand.java
@@ -0,0 +1,29 @@
+package org.amaranthmoor.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/** Shows how fast services use up what their objectives allow. */
+@com.github.rvesse.airline.annotations.Command(
+    name = "burn",
+    description = "Shows the burn of service-level objectives over several windows")
+public final class BurnCommand implements Command {
+
+  @Option(name = "--node", description = "Admin address of any node")
+  @Required
+  private String node;
+
+  @Option(name = "--json", description = "Print JSON")
+  private boolean json;
+
+  /** Creates the command. */
+  public BurnCommand() {}
+
+  @Override
+  public int run() throws Exception {
+    StatusSource source = new StatusSource(Input.endpoint("--node", node));
+    System.out.print(
+        json ? StatusSource.toJson(source.view().burn()) + "\n" : source.view().burn().render());
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/StatusCommand.java
@@ -0,0 +1,28 @@
+package org.amaranthmoor.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/** Shows notes, services and nodes. */
+@com.github.rvesse.airline.annotations.Command(
+    name = "status",
+    description = "Shows verdicts of notes, where they are in force, services, targets and nodes")
+public final class StatusCommand implements Command {
+
+  @Option(name = "--node", description = "Admin address of any node")
+  @Required
+  private String node;
+
+  @Option(name = "--json", description = "Print JSON")
+  private boolean json;
+
+  /** Creates the command. */
+  public StatusCommand() {}
+
+  @Override
+  public int run() throws Exception {
+    StatusSource source = new StatusSource(Input.endpoint("--node", node));
+    System.out.println(json ? StatusSource.toJson(source.view()) : source.view().render());
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: nodes, operators' commands and stand-ins. */
+package org.amaranthmoor.cli;
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Ejection.java
@@ -0,0 +1,58 @@
+package org.amaranthmoor.balance;
+
+import java.util.List;
+
+/**
+ * Takes servers that fail out of use for a while.
+ *
+ * <p>A server that fails fast looks idle, so failures count by themselves. Invariant: at most a
+ * third of a service's servers are ejected at once. Each further ejection lasts twice as long.
+ * After an ejection one call at a time tries the server until one succeeds. Stateless and safe for
+ * use by several threads.
+ */
+public final class Ejection {
+
+  /** Share of failures beyond which a server is ejected. */
+  static final double MAX_FAILURE_SHARE = 0.5;
+
+  /** Largest share of a service's servers that are ejected at once. */
+  static final double MAX_EJECTED_SHARE = 0.34;
+
+  private static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
+  private static final int MAX_DOUBLINGS = 5;
+
+  private Ejection() {}
+
+  /**
+   * Decides after a call's end whether its server is ejected or has passed its probation.
+   *
+   * @param servers the servers of the service
+   * @param server the server that answered or failed
+   * @param failed whether the call failed
+   * @param nowNanos the current time
+   */
+  public static void afterCall(List<Server> servers, Server server, boolean failed, long nowNanos) {
+    ServerStats stats = server.stats();
+    if (!failed) {
+      if (stats.onProbation(nowNanos)) {
+        stats.endProbation();
+      }
+      return;
+    }
+    boolean failing = stats.failureShare() > MAX_FAILURE_SHARE || stats.onProbation(nowNanos);
+    if (failing && !stats.ejected(nowNanos) && mayEject(servers, nowNanos)) {
+      int doublings = Math.min(MAX_DOUBLINGS, stats.ejections());
+      stats.eject(nowNanos + (FIRST_EJECTION_NANOS << doublings));
+    }
+  }
+
+  /** Returns whether calls should go to other servers if there are any. */
+  static boolean holdsBack(ServerStats stats, long nowNanos) {
+    return stats.ejected(nowNanos) || (stats.onProbation(nowNanos) && stats.ownInFlight() > 0);
+  }
+
+  private static boolean mayEject(List<Server> servers, long nowNanos) {
+    long ejected = servers.stream().filter(server -> server.stats().ejected(nowNanos)).count();
+    return ejected + 1 <= servers.size() * MAX_EJECTED_SHARE;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/PickPolicy.java
@@ -0,0 +1,29 @@
+package org.amaranthmoor.balance;
+
+/**
+ * A way to choose among the servers of a service.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+public sealed interface PickPolicy {
+
+  /** Any server, with equal chance. */
+  record Random() implements PickPolicy {}
+
+  /** Each server in turn. */
+  record RoundRobin() implements PickPolicy {}
+
+  /** The server with the fewest calls in flight from this entry side. */
+  record LeastInFlight() implements PickPolicy {}
+
+  /** The server of two drawn ones whose newest report shows less load. */
+  record TwoChoices() implements PickPolicy {}
+
+  /**
+   * Least expected latency among servers with a free slot, else least occupied.
+   *
+   * @param drawn servers looked at for a call, at least 2
+   * @param zonePenaltyNanos added to the latency of a server in another availability zone
+   */
+  record HotCold(int drawn, long zonePenaltyNanos) implements PickPolicy {}
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -0,0 +1,227 @@
+package org.amaranthmoor.balance;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.model.LoadReport;
+
+/**
+ * What one entry side knows about the load and the health of one server.
+ *
+ * <p>Reports are stale when they arrive, so each is corrected by the calls this entry side started
+ * and finished since. Times are monotonic nanoseconds given by the caller. Safe for use by several
+ * threads; lock-free.
+ */
+public final class ServerStats {
+
+  /** Age beyond which a report is not used, in nanoseconds. */
+  static final long MAX_REPORT_AGE_NANOS = 1_000_000_000L;
+
+  private static final double LATENCY_WEIGHT = 0.2;
+  private static final double FAILURE_WEIGHT = 0.15;
+
+  private final long firstSeenNanos;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicReference<StampedReport> report = new AtomicReference<>();
+  private final AtomicLong latencyBits = new AtomicLong(Double.doubleToLongBits(0));
+  private final AtomicLong failureBits = new AtomicLong(Double.doubleToLongBits(0));
+  private final AtomicLong finished = new AtomicLong();
+  // Time of the last answer, or of the start of the first call in flight if that is later.
+  private final AtomicLong progressNanos;
+  private final AtomicLong ejectedUntilNanos = new AtomicLong(Long.MIN_VALUE);
+  private final AtomicInteger ejections = new AtomicInteger();
+
+  /**
+   * Creates statistics of a server nothing is known of.
+   *
+   * @param nowNanos the current time
+   */
+  public ServerStats(long nowNanos) {
+    this.firstSeenNanos = nowNanos;
+    this.progressNanos = new AtomicLong(nowNanos);
+  }
+
+  private record StampedReport(LoadReport load, int ownInFlight, long atNanos) {}
+
+  /**
+   * Counts a call that starts.
+   *
+   * @param nowNanos the current time
+   */
+  public void onStart(long nowNanos) {
+    if (inFlight.getAndIncrement() == 0) {
+      progressNanos.set(nowNanos);
+    }
+  }
+
+  /**
+   * Counts a call that was answered.
+   *
+   * @param latencyNanos time from start to answer
+   * @param failed whether the answer shows that the server fails
+   * @param nowNanos the current time
+   */
+  public void onFinish(long latencyNanos, boolean failed, long nowNanos) {
+    inFlight.decrementAndGet();
+    progressNanos.set(nowNanos);
+    finished.incrementAndGet();
+    smooth(failureBits, failed ? 1 : 0, FAILURE_WEIGHT, false);
+    if (!failed) {
+      smooth(latencyBits, (double) latencyNanos, LATENCY_WEIGHT, true);
+    }
+  }
+
+  /**
+   * Counts a call that ended without telling anything about the server's speed.
+   *
+   * @param failed whether the end shows that the server fails
+   * @param nowNanos the current time
+   */
+  public void onAbandon(boolean failed, long nowNanos) {
+    inFlight.decrementAndGet();
+    if (failed) {
+      finished.incrementAndGet();
+      progressNanos.set(nowNanos);
+      smooth(failureBits, 1, FAILURE_WEIGHT, false);
+    }
+  }
+
+  /**
+   * Takes in a load report.
+   *
+   * @param load the report
+   * @param nowNanos the time it arrived
+   */
+  public void onReport(LoadReport load, long nowNanos) {
+    report.set(new StampedReport(load, inFlight.get(), nowNanos));
+  }
+
+  /** Returns the calls that this entry side has in flight at the server. */
+  public int ownInFlight() {
+    return inFlight.get();
+  }
+
+  /** Returns how many calls have finished. */
+  public long finished() {
+    return finished.get();
+  }
+
+  /**
+   * Estimates the requests in flight and queued at the server.
+   *
+   * @param nowNanos the current time
+   * @return the estimate, at least the calls this entry side has in flight there
+   */
+  public int occupancy(long nowNanos) {
+    StampedReport last = report.get();
+    int own = inFlight.get();
+    if (last == null || nowNanos - last.atNanos > MAX_REPORT_AGE_NANOS) {
+      return own;
+    }
+    return Math.max(own, last.load.occupancy() + own - last.ownInFlight);
+  }
+
+  /**
+   * Returns the age of the newest report.
+   *
+   * @param nowNanos the current time
+   * @return the age in nanoseconds, or {@link Long#MAX_VALUE} if there is none
+   */
+  public long reportAgeNanos(long nowNanos) {
+    StampedReport last = report.get();
+    return last == null ? Long.MAX_VALUE : nowNanos - last.atNanos;
+  }
+
+  /** Returns the occupancy of the newest report, however old, or 0 if there is none. */
+  public int reportedOccupancy() {
+    StampedReport last = report.get();
+    return last == null ? 0 : last.load.occupancy();
+  }
+
+  /**
+   * Returns the slots of the server.
+   *
+   * @param fallback returned if no report has arrived
+   * @return the slots, at least 1
+   */
+  public int slots(int fallback) {
+    StampedReport last = report.get();
+    return Math.max(1, last == null ? fallback : last.load.slots());
+  }
+
+  /**
+   * Estimates the latency of a call.
+   *
+   * <p>While calls are in flight and none is answered, the silence counts as a latency, so that a
+   * frozen server looks slow before its first late answer.
+   *
+   * @param nowNanos the current time
+   * @return the estimate in nanoseconds, 0 if nothing is known
+   */
+  public double latencyNanos(long nowNanos) {
+    double smoothed = Double.longBitsToDouble(latencyBits.get());
+    if (inFlight.get() == 0) {
+      return smoothed;
+    }
+    return Math.max(smoothed, (double) (nowNanos - progressNanos.get()));
+  }
+
+  /** Returns the smoothed share of calls that failed, from 0 to 1. */
+  public double failureShare() {
+    return Double.longBitsToDouble(failureBits.get());
+  }
+
+  /** Returns when the server was first seen. */
+  public long firstSeenNanos() {
+    return firstSeenNanos;
+  }
+
+  /** Returns whether the newest report says that the server drains. */
+  public boolean draining() {
+    StampedReport last = report.get();
+    return last != null && last.load.draining();
+  }
+
+  /**
+   * Returns whether the server is ejected.
+   *
+   * @param nowNanos the current time
+   * @return whether no calls should go there
+   */
+  public boolean ejected(long nowNanos) {
+    return nowNanos < ejectedUntilNanos.get();
+  }
+
+  /**
+   * Returns whether the server's last ejection is over but no call has succeeded since.
+   *
+   * @param nowNanos the current time
+   * @return whether the server is on probation
+   */
+  public boolean onProbation(long nowNanos) {
+    return ejections.get() > 0 && !ejected(nowNanos);
+  }
+
+  int ejections() {
+    return ejections.get();
+  }
+
+  void eject(long untilNanos) {
+    ejections.incrementAndGet();
+    ejectedUntilNanos.set(untilNanos);
+  }
+
+  void endProbation() {
+    ejections.set(0);
+    failureBits.set(Double.doubleToLongBits(0));
+  }
+
+  private static void smooth(AtomicLong bits, double sample, double weight, boolean firstCounts) {
+    bits.updateAndGet(
+        old -> {
+          double value = Double.longBitsToDouble(old);
+          double next = firstCounts && value == 0 ? sample : value + weight * (sample - value);
+          return Double.doubleToLongBits(next);
+        });
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RetryPolicy.java
@@ -0,0 +1,67 @@
+package org.amaranthmoor.caller;
+
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+
+/**
+ * Decides whether a failed attempt is followed by another.
+ *
+ * <p>Invariant: an attempt that may have run is never followed by another unless the request is
+ * idempotent. Stateless and safe for use by several threads.
+ */
+public final class RetryPolicy {
+
+  /** Most attempts at one call at one entry side. */
+  public static final int MAX_ATTEMPTS = 3;
+
+  private RetryPolicy() {}
+
+  /**
+   * Facts about a call on which the decision rests.
+   *
+   * @param idempotent whether the request may be run again
+   * @param replayable whether the whole body sent so far can be sent again
+   * @param attempts attempts made so far
+   * @param inheritedAttempt attempt number that the caller's header carried, 0 for a first attempt
+   * @param nanosLeft time to the deadline in nanoseconds
+   * @param untried servers not tried yet
+   */
+  public record Facts(
+      boolean idempotent,
+      boolean replayable,
+      int attempts,
+      int inheritedAttempt,
+      long nanosLeft,
+      int untried) {}
+
+  /**
+   * Decides on another attempt, and takes it from the budget if there is to be one.
+   *
+   * @param outcome outcome of the last attempt
+   * @param facts facts about the call
+   * @param budget the service's budget
+   * @return whether to try again
+   */
+  public static boolean retries(Outcome<?> outcome, Facts facts, RetryBudget budget) {
+    return allowed(outcome, facts) && budget.tryRetry();
+  }
+
+  private static boolean allowed(Outcome<?> outcome, Facts facts) {
+    boolean room =
+        facts.attempts() < MAX_ATTEMPTS
+            && facts.inheritedAttempt() == 0
+            && facts.nanosLeft() > 0
+            && facts.untried() > 0
+            && facts.replayable();
+    return room
+        && switch (outcome) {
+          case Outcome.Answered<?> answered -> false;
+          case Outcome.NotRun<?> notRun -> notRun.code().elsewhere();
+          case Outcome.Unknown<?> unknown -> facts.idempotent() && isRetryable(unknown.code());
+        };
+  }
+
+  private static boolean isRetryable(ResultCode code) {
+    return code.elsewhere();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RouteTable.java
@@ -0,0 +1,105 @@
+package org.amaranthmoor.caller;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthmoor.config.CallKind;
+import org.amaranthmoor.config.RuleSpec;
+import org.amaranthmoor.config.ServiceSpec;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.operator.NoteParser;
+
+/**
+ * Finds the route of a request.
+ *
+ * <p>A rule for the request's host goes before one for any host; among those the longest path
+ * prefix wins. A prefix matches whole path segments. Immutable and safe for use by several threads.
+ */
+public final class RouteTable {
+
+  private static final Comparator<RuleSpec> MOST_SPECIFIC_FIRST =
+      Comparator.comparing((RuleSpec rule) -> rule.host().isEmpty())
+          .thenComparing(
+              Comparator.comparingInt((RuleSpec rule) -> rule.pathPrefix().length()).reversed());
+
+  private final List<RuleSpec> rules;
+  private final Map<ServiceName, ServiceSpec> services;
+
+  /**
+   * Creates a table.
+   *
+   * @param rules the rules
+   * @param services the services
+   */
+  public RouteTable(Iterable<RuleSpec> rules, Map<ServiceName, ServiceSpec> services) {
+    List<RuleSpec> sorted = new java.util.ArrayList<>();
+    rules.forEach(sorted::add);
+    sorted.sort(MOST_SPECIFIC_FIRST);
+    this.rules = List.copyOf(sorted);
+    this.services = Map.copyOf(services);
+  }
+
+  /**
+   * Finds the route of a request.
+   *
+   * @param method the HTTP method
+   * @param host the host header, possibly with a port, or an empty text
+   * @param path the path, possibly with a query
+   * @return the route, or empty if no rule matches
+   */
+  public Optional<Route> find(String method, String host, String path) {
+    String bareHost = withoutPort(host).toLowerCase(Locale.ROOT);
+    String barePath = withoutQuery(path);
+    for (RuleSpec rule : rules) {
+      if (matches(rule, bareHost, barePath)) {
+        return Optional.of(toRoute(rule, method, below(rule.pathPrefix(), barePath)));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static boolean matches(RuleSpec rule, String host, String path) {
+    boolean hostMatches = rule.host().isEmpty() || rule.host().equals(host);
+    return hostMatches && hasPrefix(path, rule.pathPrefix());
+  }
+
+  private static boolean hasPrefix(String path, String prefix) {
+    if (!path.startsWith(prefix)) {
+      return false;
+    }
+    boolean wholeSegment = prefix.endsWith("/") || path.length() == prefix.length();
+    return wholeSegment || path.charAt(prefix.length()) == '/';
+  }
+
+  private static String below(String prefix, String path) {
+    String rest = path.substring(prefix.length());
+    return rest.startsWith("/") ? rest : "/" + rest;
+  }
+
+  private Route toRoute(RuleSpec rule, String method, String path) {
+    ServiceSpec service = services.get(rule.service());
+    for (CallKind kind : rule.calls()) {
+      if (kind.matches(method, path)) {
+        int deadline =
+            kind.deadlineMillis() > 0 ? kind.deadlineMillis() : service.defaultDeadlineMillis();
+        return new Route(rule.name(), service, kind.idempotent(), kind.priority(), deadline);
+      }
+    }
+    boolean idempotent = NoteParser.idempotentByDefault(method);
+    return new Route(
+        rule.name(), service, idempotent, Priority.NORMAL, service.defaultDeadlineMillis());
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    return colon < 0 || host.endsWith("]") ? host : host.substring(0, colon);
+  }
+
+  private static String withoutQuery(String path) {
+    int mark = path.indexOf('?');
+    return mark < 0 ? path : path.substring(0, mark);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/IdempotencyKey.java
@@ -0,0 +1,79 @@
+package org.amaranthmoor.model;
+
+import java.util.Optional;
+import java.util.UUID;
+
+/**
+ * A caller's key that marks repeats of one request.
+ *
+ * <p>Invariant: a UUID of version 7, whose first 48 bits are the time it was made. That time tells
+ * a target side whether it was already responsible for the key when the key came into the world.
+ * Immutable and safe for use by several threads.
+ *
+ * @param value the UUID
+ */
+public record IdempotencyKey(UUID value) {
+
+  private static final int TIME_ORDERED_VERSION = 7;
+  private static final int TEXT_LENGTH = 36;
+  private static final int TIME_SHIFT = 16;
+
+  /**
+   * Checks the version.
+   *
+   * @throws IllegalArgumentException if the UUID is not of version 7
+   */
+  public IdempotencyKey {
+    if (value.version() != TIME_ORDERED_VERSION) {
+      throw new IllegalArgumentException("UUID must be of version 7, but was: " + value);
+    }
+  }
+
+  /**
+   * Reads a key.
+   *
+   * @param text the text of a UUID, with or without quotes
+   * @return the key, or empty if the text is not a UUID of version 7
+   */
+  public static Optional<IdempotencyKey> parse(String text) {
+    String bare =
+        text.startsWith("\"") && text.endsWith("\"") && text.length() > 1
+            ? text.substring(1, text.length() - 1)
+            : text;
+    if (bare.length() != TEXT_LENGTH) {
+      return Optional.empty();
+    }
+    try {
+      UUID uuid = UUID.fromString(bare);
+      return uuid.version() == TIME_ORDERED_VERSION
+          ? Optional.of(new IdempotencyKey(uuid))
+          : Optional.empty();
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * Creates a key.
+   *
+   * @param epochMillis the time it is made, in milliseconds since the epoch
+   * @param random 64 random bits or more, of which 62 and 12 are used
+   * @param random2 12 further random bits
+   * @return the key
+   */
+  public static IdempotencyKey create(long epochMillis, long random, int random2) {
+    long high = (epochMillis << TIME_SHIFT) | 0x7000L | (random2 & 0xFFFL);
+    long low = (random & 0x3FFF_FFFF_FFFF_FFFFL) | 0x8000_0000_0000_0000L;
+    return new IdempotencyKey(new UUID(high, low));
+  }
+
+  /** Returns the time the key was made, in milliseconds since the epoch. */
+  public long madeAtMillis() {
+    return value.getMostSignificantBits() >>> TIME_SHIFT;
+  }
+
+  @Override
+  public String toString() {
+    return value.toString();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
@@ -0,0 +1,21 @@
+package org.amaranthmoor.model;
+
+/**
+ * Exact load of a target side at the moment it wrote the report.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param inFlight requests handed to the target and not finished
+ * @param queued requests waiting for a slot
+ * @param slots requests the target may run at once
+ * @param serviceTimeNanos smoothed time the target takes for a request, in nanoseconds
+ * @param draining whether the target side refuses new work
+ */
+public record LoadReport(
+    int inFlight, int queued, int slots, long serviceTimeNanos, boolean draining) {
+
+  /** Returns the requests in flight and queued together. */
+  public int occupancy() {
+    return inFlight + queued;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/Names.java
@@ -0,0 +1,35 @@
+package org.amaranthmoor.model;
+
+import java.util.regex.Pattern;
+
+/**
+ * Checks the text of ids.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class Names {
+
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+
+  /** What a valid name looks like, for error messages. */
+  public static final String RULE =
+      "1 to 64 letters, digits, dots, underscores or hyphens, starting with a letter or digit";
+
+  private Names() {}
+
+  /**
+   * Returns whether the text is a valid name.
+   *
+   * @param text the text to check, or null
+   * @return true if the text follows {@link #RULE}
+   */
+  public static boolean isName(String text) {
+    return text != null && NAME.matcher(text).matches();
+  }
+
+  static void requireName(String what, String text) {
+    if (!isName(text)) {
+      throw new IllegalArgumentException(what + " must be " + RULE + ", but was: " + text);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
@@ -0,0 +1,140 @@
+package org.amaranthmoor.node;
+
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.protocol.node.MemberState;
+
+/**
+ * State of one member as a node believes it.
+ *
+ * <p>Of two states of one member the one with the greater incarnation counts, then the one with the
+ * greater version, then the worse liveness. Only the member itself raises its version. Immutable
+ * and safe for use by several threads.
+ *
+ * @param node the member
+ * @param incarnation the run of its process
+ * @param liveness whether it is believed alive
+ * @param host its IP address
+ * @param port its TCP port for nodes
+ * @param zone its availability zone
+ * @param region its region
+ * @param draining whether it refuses new work
+ * @param version rises with each change the member makes to its own state
+ */
+public record Member(
+    NodeName node,
+    Incarnation incarnation,
+    Liveness liveness,
+    String host,
+    int port,
+    ZoneName zone,
+    RegionName region,
+    boolean draining,
+    long version) {
+
+  /** Whether a member is believed alive; a later constant overrides an earlier one. */
+  public enum Liveness {
+    /** It answers. */
+    ALIVE,
+    /** It did not answer, and may refute that. */
+    SUSPECT,
+    /** It did not refute in time. */
+    DEAD,
+    /** It said that it leaves. */
+    LEFT
+  }
+
+  /**
+   * Returns whether this state replaces another one of the same member.
+   *
+   * @param other the other state
+   * @return whether this one counts
+   */
+  public boolean overrides(Member other) {
+    int byIncarnation = incarnation.compareTo(other.incarnation);
+    if (byIncarnation != 0) {
+      return byIncarnation > 0;
+    }
+    if (other.liveness == Liveness.LEFT) {
+      return false;
+    }
+    if (liveness == Liveness.LEFT) {
+      return true;
+    }
+    if (version != other.version) {
+      return version > other.version;
+    }
+    return liveness.compareTo(other.liveness) > 0;
+  }
+
+  /** Returns whether calls and pings may go to the member. */
+  public boolean reachable() {
+    return liveness == Liveness.ALIVE || liveness == Liveness.SUSPECT;
+  }
+
+  /**
+   * Returns the same member with another liveness.
+   *
+   * @param changed the liveness
+   * @return the state
+   */
+  public Member withLiveness(Liveness changed) {
+    return new Member(node, incarnation, changed, host, port, zone, region, draining, version);
+  }
+
+  /** Returns a hash that is equal in every process for equal states. */
+  long stateHash() {
+    long hash = node.value().hashCode();
+    hash = hash * 1_000_003 + incarnation.value();
+    hash = hash * 1_000_003 + version;
+    hash = hash * 1_000_003 + liveness.name().hashCode();
+    return hash * 0x9E3779B97F4A7C15L;
+  }
+
+  MemberState toMessage() {
+    return MemberState.newBuilder()
+        .setNode(node.value())
+        .setIncarnation(incarnation.value())
+        .setLiveness(toMessage(liveness))
+        .setHost(host)
+        .setPort(port)
+        .setZone(zone.value())
+        .setRegion(region.value())
+        .setDraining(draining)
+        .setVersion(version)
+        .build();
+  }
+
+  static Member of(MemberState message) {
+    return new Member(
+        new NodeName(message.getNode()),
+        new Incarnation(message.getIncarnation()),
+        toLiveness(message.getLiveness()),
+        message.getHost(),
+        message.getPort(),
+        new ZoneName(message.getZone()),
+        new RegionName(message.getRegion()),
+        message.getDraining(),
+        message.getVersion());
+  }
+
+  private static MemberState.Liveness toMessage(Liveness liveness) {
+    return switch (liveness) {
+      case ALIVE -> MemberState.Liveness.ALIVE;
+      case SUSPECT -> MemberState.Liveness.SUSPECT;
+      case DEAD -> MemberState.Liveness.DEAD;
+      case LEFT -> MemberState.Liveness.LEFT;
+    };
+  }
+
+  private static Liveness toLiveness(MemberState.Liveness liveness) {
+    return switch (liveness) {
+      case ALIVE -> Liveness.ALIVE;
+      case SUSPECT -> Liveness.SUSPECT;
+      case LEFT -> Liveness.LEFT;
+      case DEAD, UNRECOGNIZED -> Liveness.DEAD;
+    };
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -0,0 +1,507 @@
+package org.amaranthmoor.node;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.Names;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.protocol.node.Gossip;
+import org.amaranthmoor.protocol.node.MemberState;
+
+/**
+ * Failure detection and spreading of member states among the nodes of one region.
+ *
+ * <p>Each period a node pings one member, in a shuffled order. If no ack comes, a few helpers ping
+ * on its behalf; then the member is suspected, and declared dead unless it refutes by raising its
+ * version. Changed states ride on the messages that flow anyway. Members of other regions are
+ * ignored, so that losing a region marks none of its nodes dead.
+ *
+ * <p>Invariant: a member's (incarnation, version) as known here never falls. Does no I/O: methods
+ * return what is to be sent. Safe for use by several threads.
+ */
+public final class Membership {
+
+  /** Most states in a message that compares whole views, so that it fits a datagram. */
+  static final int STATES_PER_SYNC_MESSAGE = 12;
+
+  /** Time after which a member that is gone is forgotten, in nanoseconds. */
+  static final long FORGET_NANOS = 600_000_000_000L;
+
+  /**
+   * A message to be sent.
+   *
+   * @param to the receiver
+   * @param host the receiver's IP address
+   * @param port the receiver's TCP port
+   * @param message the message
+   */
+  public record Outgoing(NodeName to, String host, int port, Gossip message) {}
+
+  private record PendingPing(
+      NodeName subject, Optional<NodeName> onBehalfOf, long behalfSequence, long sentNanos) {}
+
+  private static final class Known {
+    private Member member;
+    private long suspectSinceNanos;
+    private long goneSinceNanos;
+
+    private Known(Member member) {
+      this.member = member;
+    }
+  }
+
+  private final GossipTimings timings;
+  private final RandomGenerator random;
+  private final Map<NodeName, Known> members = new HashMap<>();
+  private final Map<Long, PendingPing> pendingPings = new HashMap<>();
+  private final Map<Long, NodeName> helpedPings = new HashMap<>();
+  private final Map<Long, Long> helpedSinceNanos = new HashMap<>();
+  private final Set<NodeName> suspected = new HashSet<>();
+  private final Dissemination dissemination = new Dissemination();
+  private final List<NodeName> pingOrder = new ArrayList<>();
+  private Member self;
+  private long configOffset = -1;
+  private long viewHash;
+  private long nextSequence;
+  private long nextPingNanos;
+  private long nextSyncNanos;
+
+  /**
+   * Creates a membership that knows only itself.
+   *
+   * @param self this node
+   * @param timings periods and limits
+   * @param random source of randomness
+   * @param nowNanos the current time
+   */
+  public Membership(Member self, GossipTimings timings, RandomGenerator random, long nowNanos) {
+    this.self = self;
+    this.timings = timings;
+    this.random = random;
+    this.nextPingNanos = nowNanos + random.nextLong(timings.pingPeriodNanos());
+    this.nextSyncNanos = nowNanos + random.nextLong(timings.syncPeriodNanos());
+    put(self);
+  }
+
+  /**
+   * Learns of a member from elsewhere, such as the log.
+   *
+   * @param member the member
+   */
+  public synchronized void learn(Member member) {
+    if (member.region().equals(self.region()) && !member.node().equals(self.node())) {
+      take(member, 0);
+    }
+  }
+
+  /**
+   * Sets whether this node drains.
+   *
+   * @param draining whether it refuses new work
+   */
+  public synchronized void setDraining(boolean draining) {
+    changeSelf(self.liveness(), draining, self.version() + 1);
+  }
+
+  /** Marks this node as leaving; its state is spread until it stops. */
+  public synchronized void leave() {
+    changeSelf(Member.Liveness.LEFT, true, self.version() + 1);
+  }
+
+  /**
+   * Gives this node a new incarnation.
+   *
+   * @param incarnation the incarnation, greater than the present one
+   */
+  public synchronized void renew(Incarnation incarnation) {
+    self =
+        new Member(
+            self.node(),
+            incarnation,
+            self.liveness(),
+            self.host(),
+            self.port(),
+            self.zone(),
+            self.region(),
+            self.draining(),
+            0);
+    put(self);
+    dissemination.add(self.node());
+  }
+
+  /**
+   * Sets the offset that this node's messages state.
+   *
+   * @param offset offset of the newest configuration in force here
+   */
+  public synchronized void setConfigOffset(long offset) {
+    configOffset = offset;
+  }
+
+  private void changeSelf(Member.Liveness liveness, boolean draining, long version) {
+    self =
+        new Member(
+            self.node(),
+            self.incarnation(),
+            liveness,
+            self.host(),
+            self.port(),
+            self.zone(),
+            self.region(),
+            draining,
+            version);
+    put(self);
+    dissemination.add(self.node());
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param nowNanos the current time
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> tick(long nowNanos) {
+    List<Outgoing> out = new ArrayList<>();
+    handleSilence(nowNanos, out);
+    declareDead(nowNanos);
+    if (nowNanos >= nextPingNanos) {
+      nextPingNanos = Math.max(nextPingNanos + timings.pingPeriodNanos(), nowNanos);
+      nextToPing().ifPresent(member -> ping(member, Optional.empty(), 0, nowNanos, out));
+    }
+    if (nowNanos >= nextSyncNanos) {
+      nextSyncNanos = nowNanos + timings.syncPeriodNanos();
+      forgetGone(nowNanos);
+      randomReachable().ifPresent(member -> out.add(syncRequest(member.host(), member.port())));
+    }
+    return out;
+  }
+
+  /**
+   * Creates the message by which a node that knows an address only introduces itself.
+   *
+   * @param host the IP address
+   * @param port the TCP port
+   * @return the message
+   */
+  public synchronized Outgoing syncRequest(String host, int port) {
+    return new Outgoing(
+        self.node(),
+        host,
+        port,
+        message(Gossip.Kind.SYNC).addStates(self.toMessage()).setViewHash(viewHash).build());
+  }
+
+  /**
+   * Takes in a message.
+   *
+   * @param message the message
+   * @param nowNanos the current time
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> receive(Gossip message, long nowNanos) {
+    List<Outgoing> out = new ArrayList<>();
+    for (MemberState state : message.getStatesList()) {
+      if (isValid(state)) {
+        receiveState(Member.of(state), nowNanos);
+      }
+    }
+    if (!Names.isName(message.getSender())) {
+      return out;
+    }
+    NodeName sender = new NodeName(message.getSender());
+    switch (message.getKind()) {
+      case PING -> reply(sender, message.getSequence(), out);
+      case ACK -> receiveAck(message.getSequence(), out);
+      case PING_REQUEST -> pingOnBehalf(sender, message, nowNanos, out);
+      case SYNC -> answerSync(sender, message, out);
+      case UNRECOGNIZED -> {}
+    }
+    return out;
+  }
+
+  private static boolean isValid(MemberState state) {
+    return Names.isName(state.getNode())
+        && Names.isName(state.getZone())
+        && Names.isName(state.getRegion());
+  }
+
+  private void receiveState(Member member, long nowNanos) {
+    if (member.node().equals(self.node())) {
+      refute(member);
+    } else if (member.region().equals(self.region())) {
+      take(member, nowNanos);
+    }
+  }
+
+  private void refute(Member claimed) {
+    boolean aboutThisRun = claimed.incarnation().equals(self.incarnation());
+    boolean denied = claimed.liveness() != Member.Liveness.ALIVE;
+    boolean leaving = self.liveness() == Member.Liveness.LEFT;
+    if (aboutThisRun && denied && !leaving && claimed.version() >= self.version()) {
+      changeSelf(self.liveness(), self.draining(), claimed.version() + 1);
+    }
+  }
+
+  private void take(Member member, long nowNanos) {
+    Known known = members.get(member.node());
+    boolean news = known == null ? member.reachable() : member.overrides(known.member);
+    if (!news) {
+      return;
+    }
+    put(member);
+    dissemination.add(member.node());
+    Known stored = members.get(member.node());
+    if (member.liveness() == Member.Liveness.SUSPECT) {
+      stored.suspectSinceNanos = nowNanos;
+      suspected.add(member.node());
+    }
+    if (!member.reachable()) {
+      stored.goneSinceNanos = nowNanos;
+    }
+  }
+
+  private void put(Member member) {
+    Known known = members.get(member.node());
+    if (known == null) {
+      members.put(member.node(), new Known(member));
+    } else {
+      viewHash ^= known.member.stateHash();
+      known.member = member;
+    }
+    viewHash ^= member.stateHash();
+  }
+
+  private void reply(NodeName sender, long sequence, List<Outgoing> out) {
+    Known known = members.get(sender);
+    if (known != null) {
+      Gossip ack = withRides(Gossip.Kind.ACK).setSequence(sequence).build();
+      out.add(to(known.member, ack));
+    }
+  }
+
+  private void receiveAck(long sequence, List<Outgoing> out) {
+    PendingPing pending = pendingPings.remove(sequence);
+    if (pending == null) {
+      helpedPings.remove(sequence);
+      return;
+    }
+    if (pending.onBehalfOf().isPresent()) {
+      Known asker = members.get(pending.onBehalfOf().get());
+      if (asker != null) {
+        Gossip ack = withRides(Gossip.Kind.ACK).setSequence(pending.behalfSequence()).build();
+        out.add(to(asker.member, ack));
+      }
+    }
+  }
+
+  private void pingOnBehalf(NodeName sender, Gossip message, long nowNanos, List<Outgoing> out) {
+    if (!Names.isName(message.getSubject())) {
+      return;
+    }
+    Known subject = members.get(new NodeName(message.getSubject()));
+    if (subject != null) {
+      ping(subject.member, Optional.of(sender), message.getSequence(), nowNanos, out);
+    }
+  }
+
+  private void answerSync(NodeName sender, Gossip message, List<Outgoing> out) {
+    Known known = members.get(sender);
+    boolean isAnswer = message.getSequence() > 0;
+    if (known == null || isAnswer || message.getViewHash() == viewHash) {
+      return;
+    }
+    List<MemberState> states = new ArrayList<>();
+    members.values().forEach(other -> states.add(other.member.toMessage()));
+    for (int from = 0; from < states.size(); from += STATES_PER_SYNC_MESSAGE) {
+      int to = Math.min(states.size(), from + STATES_PER_SYNC_MESSAGE);
+      Gossip answer =
+          message(Gossip.Kind.SYNC).setSequence(1).addAllStates(states.subList(from, to)).build();
+      out.add(to(known.member, answer));
+    }
+  }
+
+  private void ping(
+      Member member,
+      Optional<NodeName> onBehalfOf,
+      long behalfSequence,
+      long nowNanos,
+      List<Outgoing> out) {
+    long sequence = ++nextSequence;
+    pendingPings.put(
+        sequence, new PendingPing(member.node(), onBehalfOf, behalfSequence, nowNanos));
+    out.add(to(member, withRides(Gossip.Kind.PING).setSequence(sequence).build()));
+  }
+
+  private void handleSilence(long nowNanos, List<Outgoing> out) {
+    List<Map.Entry<Long, PendingPing>> silent =
+        pendingPings.entrySet().stream()
+            .filter(ping -> nowNanos - ping.getValue().sentNanos() >= timings.ackTimeoutNanos())
+            .toList();
+    for (Map.Entry<Long, PendingPing> ping : silent) {
+      pendingPings.remove(ping.getKey());
+      if (ping.getValue().onBehalfOf().isEmpty()) {
+        askHelpers(ping.getKey(), ping.getValue().subject(), nowNanos, out);
+      }
+    }
+    suspectUnhelped(nowNanos);
+  }
+
+  private void askHelpers(long sequence, NodeName subject, long nowNanos, List<Outgoing> out) {
+    helpedPings.put(sequence, subject);
+    helpedSinceNanos.put(sequence, nowNanos);
+    for (int i = 0; i < timings.helpers(); i++) {
+      Optional<Member> helper = randomReachable();
+      if (helper.isPresent() && !helper.get().node().equals(subject)) {
+        Gossip request =
+            withRides(Gossip.Kind.PING_REQUEST)
+                .setSequence(sequence)
+                .setSubject(subject.value())
+                .build();
+        out.add(to(helper.get(), request));
+      }
+    }
+  }
+
+  private void suspectUnhelped(long nowNanos) {
+    List<Long> over =
+        helpedSinceNanos.entrySet().stream()
+            .filter(entry -> nowNanos - entry.getValue() >= 2 * timings.ackTimeoutNanos())
+            .map(Map.Entry::getKey)
+            .toList();
+    for (Long sequence : over) {
+      helpedSinceNanos.remove(sequence);
+      NodeName subject = helpedPings.remove(sequence);
+      Known known = subject == null ? null : members.get(subject);
+      if (known != null && known.member.liveness() == Member.Liveness.ALIVE) {
+        take(known.member.withLiveness(Member.Liveness.SUSPECT), nowNanos);
+      }
+    }
+  }
+
+  private void declareDead(long nowNanos) {
+    for (NodeName node : List.copyOf(suspected)) {
+      Known known = members.get(node);
+      if (known.member.liveness() != Member.Liveness.SUSPECT) {
+        suspected.remove(node);
+      } else if (nowNanos - known.suspectSinceNanos >= timings.suspicionNanos()) {
+        take(known.member.withLiveness(Member.Liveness.DEAD), nowNanos);
+      }
+    }
+  }
+
+  // Forgets members that have been gone for so long that no message about them is under way.
+  private void forgetGone(long nowNanos) {
+    List<Known> gone =
+        members.values().stream()
+            .filter(known -> !known.member.reachable())
+            .filter(known -> nowNanos - known.goneSinceNanos >= FORGET_NANOS)
+            .toList();
+    for (Known known : gone) {
+      members.remove(known.member.node());
+      viewHash ^= known.member.stateHash();
+    }
+  }
+
+  private Optional<Member> nextToPing() {
+    while (true) {
+      if (pingOrder.isEmpty()) {
+        refillPingOrder();
+        if (pingOrder.isEmpty()) {
+          return Optional.empty();
+        }
+      }
+      Known known = members.get(pingOrder.removeLast());
+      if (known != null && known.member.reachable()) {
+        return Optional.of(known.member);
+      }
+    }
+  }
+
+  private void refillPingOrder() {
+    for (Known known : members.values()) {
+      if (known.member.reachable() && !known.member.node().equals(self.node())) {
+        pingOrder.add(known.member.node());
+      }
+    }
+    Collections.sort(pingOrder);
+    Collections.shuffle(pingOrder, new Random(random.nextLong()));
+  }
+
+  private Optional<Member> randomReachable() {
+    List<NodeName> names = pingOrder.isEmpty() ? List.of() : pingOrder;
+    if (names.isEmpty()) {
+      refillPingOrder();
+      names = pingOrder;
+    }
+    if (names.isEmpty()) {
+      return Optional.empty();
+    }
+    Known known = members.get(names.get(random.nextInt(names.size())));
+    return Optional.ofNullable(known).map(k -> k.member).filter(Member::reachable);
+  }
+
+  private Gossip.Builder message(Gossip.Kind kind) {
+    return Gossip.newBuilder()
+        .setKind(kind)
+        .setSender(self.node().value())
+        .setConfigOffset(configOffset);
+  }
+
+  private Gossip.Builder withRides(Gossip.Kind kind) {
+    Gossip.Builder builder = message(kind);
+    for (NodeName node : dissemination.next(timings.statesPerMessage(), members.size())) {
+      Known known = members.get(node);
+      if (known != null) {
+        builder.addStates(known.member.toMessage());
+      }
+    }
+    return builder;
+  }
+
+  private static Outgoing to(Member member, Gossip message) {
+    return new Outgoing(member.node(), member.host(), member.port(), message);
+  }
+
+  /** Returns the states of all members known, this node included. */
+  public synchronized List<Member> members() {
+    return members.values().stream().map(known -> known.member).toList();
+  }
+
+  /**
+   * Returns the state of a member.
+   *
+   * @param node the member
+   * @return the state, or empty if the member is not known
+   */
+  public synchronized Optional<Member> member(NodeName node) {
+    return Optional.ofNullable(members.get(node)).map(known -> known.member);
+  }
+
+  /** Returns this node's own state. */
+  public synchronized Member self() {
+    return self;
+  }
+
+  /**
+   * Returns members that have been dead for a while.
+   *
+   * @param forNanos how long
+   * @param nowNanos the current time
+   * @return the members
+   */
+  public synchronized List<Member> deadFor(long forNanos, long nowNanos) {
+    return members.values().stream()
+        .filter(known -> known.member.liveness() == Member.Liveness.DEAD)
+        .filter(known -> nowNanos - known.goneSinceNanos >= forNanos)
+        .map(known -> known.member)
+        .toList();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/NoteChange.java
@@ -0,0 +1,135 @@
+package org.amaranthmoor.operator;
+
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthmoor.config.Reason;
+import org.amaranthmoor.config.RuleSpec;
+import org.amaranthmoor.config.ServiceSpec;
+import org.amaranthmoor.config.TargetSpec;
+import org.amaranthmoor.model.NoteId;
+
+/**
+ * One item that a release note adds, changes or withdraws.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+public sealed interface NoteChange {
+
+  /** Returns the kind of the item. */
+  Kind kind();
+
+  /** Returns the name of the item. */
+  String name();
+
+  /** Returns the revision the change builds on, or empty if the item is new. */
+  Optional<NoteId> buildsOn();
+
+  /** Returns the line of the change, counted from 1. */
+  int line();
+
+  /** Returns the reasons that the operator overrides for this item. */
+  Set<Reason.Code> overrides();
+
+  /** Returns how messages name the item. */
+  default String label() {
+    return kind().text() + " " + name();
+  }
+
+  /** Kinds of items. */
+  enum Kind {
+    /** A service. */
+    SERVICE("service"),
+    /** A rule. */
+    RULE("rule"),
+    /** A target. */
+    TARGET("target");
+
+    private final String text;
+
+    Kind(String text) {
+      this.text = text;
+    }
+
+    /** Returns the word that messages use. */
+    public String text() {
+      return text;
+    }
+  }
+
+  /**
+   * Adds or changes a service.
+   *
+   * @param spec the service after the change
+   * @param buildsOn the revision changed, or empty to add
+   * @param line the line
+   * @param overrides overridden reasons
+   */
+  record PutService(
+      ServiceSpec spec, Optional<NoteId> buildsOn, int line, Set<Reason.Code> overrides)
+      implements NoteChange {
+    @Override
+    public Kind kind() {
+      return Kind.SERVICE;
+    }
+
+    @Override
+    public String name() {
+      return spec.name().value();
+    }
+  }
+
+  /**
+   * Adds or changes a rule.
+   *
+   * @param spec the rule after the change
+   * @param buildsOn the revision changed, or empty to add
+   * @param line the line
+   * @param overrides overridden reasons
+   */
+  record PutRule(RuleSpec spec, Optional<NoteId> buildsOn, int line, Set<Reason.Code> overrides)
+      implements NoteChange {
+    @Override
+    public Kind kind() {
+      return Kind.RULE;
+    }
+
+    @Override
+    public String name() {
+      return spec.name().value();
+    }
+  }
+
+  /**
+   * Admits a target to a service, or moves it to another.
+   *
+   * @param spec the target after the change
+   * @param buildsOn the revision changed, or empty to add
+   * @param line the line
+   * @param overrides overridden reasons
+   */
+  record PutTarget(TargetSpec spec, Optional<NoteId> buildsOn, int line, Set<Reason.Code> overrides)
+      implements NoteChange {
+    @Override
+    public Kind kind() {
+      return Kind.TARGET;
+    }
+
+    @Override
+    public String name() {
+      return spec.name().value();
+    }
+  }
+
+  /**
+   * Withdraws an item.
+   *
+   * @param kind the kind of the item
+   * @param name the name of the item
+   * @param buildsOn the revision withdrawn
+   * @param line the line
+   * @param overrides overridden reasons
+   */
+  record Withdraw(
+      Kind kind, String name, Optional<NoteId> buildsOn, int line, Set<Reason.Code> overrides)
+      implements NoteChange {}
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/NoteReading.java
@@ -0,0 +1,34 @@
+package org.amaranthmoor.operator;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthmoor.config.Reason;
+import org.amaranthmoor.model.NoteId;
+
+/**
+ * Result of reading a release note's text.
+ *
+ * <p>Immutable and safe for use by several threads.
+ */
+public sealed interface NoteReading {
+
+  /**
+   * The text is a well-formed note.
+   *
+   * @param note the note
+   */
+  record Read(ReleaseNote note) implements NoteReading {}
+
+  /**
+   * The text is not a well-formed note.
+   *
+   * @param id the note's id, if that could be read
+   * @param reasons why, at least one
+   */
+  record Unreadable(Optional<NoteId> id, List<Reason> reasons) implements NoteReading {
+    /** Copies the reasons. */
+    public Unreadable {
+      reasons = List.copyOf(reasons);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/package-info.java
@@ -0,0 +1,2 @@
+/** What operators write: release notes, and how they are read. */
+package org.amaranthmoor.operator;
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/LogFold.java
@@ -0,0 +1,204 @@
+package org.amaranthmoor.platform;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthmoor.config.Reason;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.Names;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.NoteId;
+import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.TargetName;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.operator.NoteParser;
+import org.amaranthmoor.operator.NoteReading;
+import org.amaranthmoor.operator.ReleaseNote;
+import org.amaranthmoor.protocol.platform.Evicted;
+import org.amaranthmoor.protocol.platform.Joined;
+import org.amaranthmoor.protocol.platform.Left;
+import org.amaranthmoor.protocol.platform.LogRecord;
+import org.amaranthmoor.protocol.platform.NotePublished;
+
+/**
+ * Folds log records into a state.
+ *
+ * <p>A pure function: every node that folds the same records in order gets the same state. A record
+ * that cannot be read, or that repeats an earlier one, changes only the offset. Stateless and safe
+ * for use by several threads.
+ */
+public final class LogFold {
+
+  /** Newest format of records that this build can read. */
+  public static final int RECORD_FORMAT = 1;
+
+  private LogFold() {}
+
+  /**
+   * Folds one record into a state.
+   *
+   * @param before the state before the record
+   * @param offset the record's offset, greater than the state's
+   * @param bytes the record
+   * @return the state after the record
+   * @throws IllegalArgumentException if the offset is not greater than the state's
+   */
+  public static ClusterState apply(ClusterState before, long offset, byte[] bytes) {
+    if (offset <= before.offset()) {
+      throw new IllegalArgumentException(
+          "offset must be greater than " + before.offset() + ", but was: " + offset);
+    }
+    StateDraft unchanged = new StateDraft(before);
+    LogRecord record;
+    try {
+      record = LogRecord.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      return unchanged.finish(offset, before.verdicts(), before.recentRecordIds());
+    }
+    if (record.getFormat() != RECORD_FORMAT
+        || before.recentRecordIds().contains(record.getRecordId())) {
+      return unchanged.finish(offset, before.verdicts(), before.recentRecordIds());
+    }
+    List<String> recordIds =
+        StateDraft.appended(
+            before.recentRecordIds(), record.getRecordId(), ClusterState.MAX_RECORD_IDS);
+    return switch (record.getBodyCase()) {
+      case NOTE -> applyNote(before, offset, record.getNote(), recordIds);
+      case JOINED -> applyJoined(before, offset, record.getJoined(), recordIds);
+      case LEFT -> applyLeft(before, offset, record.getLeft(), recordIds);
+      case EVICTED -> applyEvicted(before, offset, record.getEvicted(), recordIds);
+      case BODY_NOT_SET -> unchanged.finish(offset, before.verdicts(), recordIds);
+    };
+  }
+
+  private static ClusterState applyNote(
+      ClusterState before, long offset, NotePublished published, List<String> recordIds) {
+    if (!Names.isName(published.getNoteId())) {
+      return new StateDraft(before).finish(offset, before.verdicts(), recordIds);
+    }
+    NoteId id = new NoteId(published.getNoteId());
+    NoteJudge.Judgement judgement = judge(before, id, published.getText());
+    Verdict verdict =
+        switch (judgement) {
+          case NoteJudge.Judgement.Accept accept -> new Verdict.Accepted(id, offset);
+          case NoteJudge.Judgement.Refuse refuse ->
+              new Verdict.Refused(id, offset, refuse.reasons());
+        };
+    StateDraft draft =
+        switch (judgement) {
+          case NoteJudge.Judgement.Accept accept -> accept.draft();
+          case NoteJudge.Judgement.Refuse refuse -> new StateDraft(before);
+        };
+    List<Verdict> verdicts =
+        StateDraft.appended(before.verdicts(), verdict, ClusterState.MAX_VERDICTS);
+    return draft.finish(offset, verdicts, recordIds);
+  }
+
+  private static NoteJudge.Judgement judge(ClusterState before, NoteId id, String text) {
+    if (before.verdict(id).isPresent()) {
+      return refusal(Reason.Code.ID_TAKEN, "a note with the id " + id + " stands in the log");
+    }
+    return judgeText(before, id, text);
+  }
+
+  private static NoteJudge.Judgement judgeText(ClusterState before, NoteId id, String text) {
+    return switch (NoteParser.parse(text)) {
+      case NoteReading.Unreadable unreadable ->
+          new NoteJudge.Judgement.Refuse(unreadable.reasons());
+      case NoteReading.Read read -> judgeNote(before, id, read.note());
+    };
+  }
+
+  private static NoteJudge.Judgement judgeNote(ClusterState before, NoteId id, ReleaseNote note) {
+    if (!note.id().equals(id)) {
+      return refusal(
+          Reason.Code.MALFORMED, "published as " + id + ", but the note is " + note.id());
+    }
+    return NoteJudge.judge(before, note);
+  }
+
+  private static NoteJudge.Judgement refusal(Reason.Code code, String message) {
+    return new NoteJudge.Judgement.Refuse(List.of(new Reason(code, "", 1, message)));
+  }
+
+  /**
+   * Judges a note against a state without changing it.
+   *
+   * @param state the state
+   * @param text the note
+   * @return why the note would be refused, empty if it would be accepted
+   */
+  public static List<Reason> check(ClusterState state, String text) {
+    NoteReading reading = NoteParser.parse(text);
+    NoteId id =
+        switch (reading) {
+          case NoteReading.Read read -> read.note().id();
+          case NoteReading.Unreadable unreadable -> unreadable.id().orElse(new NoteId("unknown"));
+        };
+    return switch (judge(state, id, text)) {
+      case NoteJudge.Judgement.Accept accept -> List.of();
+      case NoteJudge.Judgement.Refuse refuse -> new ArrayList<>(refuse.reasons());
+    };
+  }
+
+  private static ClusterState applyJoined(
+      ClusterState before, long offset, Joined joined, List<String> recordIds) {
+    StateDraft draft = new StateDraft(before);
+    toAnnounced(joined, offset)
+        .filter(announced -> isNewest(before, announced))
+        .ifPresent(announced -> draft.announced.put(announced.node(), announced));
+    return draft.finish(offset, before.verdicts(), recordIds);
+  }
+
+  private static boolean isNewest(ClusterState before, Announced announced) {
+    Announced current = before.announced().get(announced.node());
+    return current == null || current.incarnation().compareTo(announced.incarnation()) < 0;
+  }
+
+  /** Converts an announcement, or returns empty if a name in it is not valid. */
+  static Optional<Announced> toAnnounced(Joined joined, long offset) {
+    boolean named =
+        Names.isName(joined.getNode())
+            && Names.isName(joined.getZone())
+            && Names.isName(joined.getRegion())
+            && Names.isName(joined.getTarget());
+    if (!named) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Announced(
+            new NodeName(joined.getNode()),
+            new Incarnation(joined.getIncarnation()),
+            joined.getHost(),
+            joined.getPort(),
+            new ZoneName(joined.getZone()),
+            new RegionName(joined.getRegion()),
+            new TargetName(joined.getTarget()),
+            joined.getSlots(),
+            offset));
+  }
+
+  private static ClusterState applyLeft(
+      ClusterState before, long offset, Left left, List<String> recordIds) {
+    return removeAnnounced(before, offset, left.getNode(), left.getIncarnation(), recordIds);
+  }
+
+  private static ClusterState applyEvicted(
+      ClusterState before, long offset, Evicted evicted, List<String> recordIds) {
+    return removeAnnounced(before, offset, evicted.getNode(), evicted.getIncarnation(), recordIds);
+  }
+
+  private static ClusterState removeAnnounced(
+      ClusterState before, long offset, String node, long incarnation, List<String> recordIds) {
+    StateDraft draft = new StateDraft(before);
+    if (Names.isName(node)) {
+      NodeName name = new NodeName(node);
+      Announced current = before.announced().get(name);
+      if (current != null && current.incarnation().value() == incarnation) {
+        draft.announced.remove(name);
+      }
+    }
+    return draft.finish(offset, before.verdicts(), recordIds);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/StateDraft.java
@@ -0,0 +1,46 @@
+package org.amaranthmoor.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import org.amaranthmoor.config.RuleSpec;
+import org.amaranthmoor.config.ServiceSpec;
+import org.amaranthmoor.config.TargetSpec;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.RuleName;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.TargetName;
+
+/**
+ * A state under change by one record.
+ *
+ * <p>Confined to one thread; {@link #finish} gives the immutable result.
+ */
+final class StateDraft {
+
+  final SortedMap<ServiceName, ServiceSpec> services;
+  final SortedMap<RuleName, RuleSpec> rules;
+  final SortedMap<TargetName, TargetSpec> targets;
+  final SortedMap<NodeName, Announced> announced;
+  private final ClusterState before;
+
+  StateDraft(ClusterState before) {
+    this.before = before;
+    this.services = ClusterState.copyOf(before.services());
+    this.rules = ClusterState.copyOf(before.rules());
+    this.targets = ClusterState.copyOf(before.targets());
+    this.announced = ClusterState.copyOf(before.announced());
+  }
+
+  ClusterState finish(long offset, List<Verdict> verdicts, List<String> recordIds) {
+    return new ClusterState(
+        offset, before.formatLevel(), services, rules, targets, announced, verdicts, recordIds);
+  }
+
+  /** Appends to a copy of a list and drops the oldest entries beyond a limit. */
+  static <T> List<T> appended(List<T> list, T last, int limit) {
+    List<T> copy = new ArrayList<>(list);
+    copy.add(last);
+    return copy.size() <= limit ? copy : copy.subList(copy.size() - limit, copy.size());
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/report/BurnReport.java
@@ -0,0 +1,127 @@
+package org.amaranthmoor.report;
+
+import java.util.List;
+import java.util.Locale;
+import org.amaranthmoor.config.ServiceSpec;
+
+/**
+ * How fast services use up what their objectives allow.
+ *
+ * <p>A burn of 1 uses up exactly the allowance over the objective's period; 14 means that a month's
+ * allowance lasts two days. Immutable and safe for use by several threads.
+ *
+ * @param services one entry for each service
+ */
+public record BurnReport(List<ServiceBurn> services) {
+
+  /** Windows reported, in minutes. */
+  public static final List<Integer> WINDOWS_MINUTES = List.of(5, 30, 60, 360);
+
+  /** Copies the services. */
+  public BurnReport {
+    services = List.copyOf(services);
+  }
+
+  /**
+   * Burn of one service.
+   *
+   * @param service the service
+   * @param availabilityObjective share of calls to be answered
+   * @param latencyObjectiveMillis latency that {@code latencyShare} of calls must meet
+   * @param latencyShare share of calls to meet the latency objective
+   * @param windows one entry for each window
+   */
+  public record ServiceBurn(
+      String service,
+      double availabilityObjective,
+      int latencyObjectiveMillis,
+      double latencyShare,
+      List<WindowBurn> windows) {
+    /** Copies the windows. */
+    public ServiceBurn {
+      windows = List.copyOf(windows);
+    }
+  }
+
+  /**
+   * Burn over one window.
+   *
+   * @param minutes length of the window
+   * @param total calls
+   * @param failed calls without a good answer
+   * @param slow calls answered too late
+   * @param availabilityBurn burn of the availability objective
+   * @param latencyBurn burn of the latency objective
+   */
+  public record WindowBurn(
+      int minutes,
+      long total,
+      long failed,
+      long slow,
+      double availabilityBurn,
+      double latencyBurn) {}
+
+  /**
+   * Computes the burn of one service.
+   *
+   * @param spec the service
+   * @param windows counts over windows
+   * @return the burn
+   */
+  public static ServiceBurn of(ServiceSpec spec, List<CallCounts.Window> windows) {
+    List<WindowBurn> burns =
+        windows.stream()
+            .map(
+                window ->
+                    new WindowBurn(
+                        window.minutes(),
+                        window.total(),
+                        window.failed(),
+                        window.slow(),
+                        burn(window.failed(), window.total(), spec.availabilityObjective()),
+                        burn(window.slow(), window.total(), spec.latencyShare())))
+            .toList();
+    return new ServiceBurn(
+        spec.name().value(),
+        spec.availabilityObjective(),
+        spec.latencyObjectiveMillis(),
+        spec.latencyShare(),
+        burns);
+  }
+
+  private static double burn(long bad, long total, double objective) {
+    if (total == 0) {
+      return 0;
+    }
+    return ((double) bad / total) / (1 - objective);
+  }
+
+  /** Renders the report as a table. */
+  public String render() {
+    StringBuilder text = new StringBuilder();
+    for (ServiceBurn service : services) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "service %s: availability objective %.4f%%, latency objective %d ms for %.2f%%%n",
+              service.service(),
+              service.availabilityObjective() * 100,
+              service.latencyObjectiveMillis(),
+              service.latencyShare() * 100));
+      text.append("  window      calls   failed     slow  availability-burn  latency-burn\n");
+      for (WindowBurn window : service.windows()) {
+        text.append(
+            String.format(
+                Locale.ROOT,
+                "  %4d min %8d %8d %8d %18.2f %13.2f%n",
+                window.minutes(),
+                window.total(),
+                window.failed(),
+                window.slow(),
+                window.availabilityBurn(),
+                window.latencyBurn()));
+      }
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Parsed.java
@@ -0,0 +1,34 @@
+package org.amaranthmoor.yaml;
+
+import java.util.List;
+
+/**
+ * Result of reading a document: a value, or everything that is wrong with it.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param <T> the type of the value
+ */
+public sealed interface Parsed<T> {
+
+  /**
+   * The document is valid.
+   *
+   * @param value what it says
+   * @param <T> the type of the value
+   */
+  record Valid<T>(T value) implements Parsed<T> {}
+
+  /**
+   * The document is not valid.
+   *
+   * @param problems at least one problem, in order of lines
+   * @param <T> the type of the value
+   */
+  record Invalid<T>(List<Problem> problems) implements Parsed<T> {
+    /** Copies the problems. */
+    public Invalid {
+      problems = List.copyOf(problems);
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -0,0 +1,474 @@
+package org.amaranthmoor.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.amaranthmoor.daemon.caller.CallerHandler;
+import org.amaranthmoor.daemon.caller.EntrySide;
+import org.amaranthmoor.daemon.caller.EntryViews;
+import org.amaranthmoor.daemon.caller.TargetAccess;
+import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.node.GossipSocket;
+import org.amaranthmoor.daemon.node.NodeIdentity;
+import org.amaranthmoor.daemon.node.NodeQueries;
+import org.amaranthmoor.daemon.node.PeerAddress;
+import org.amaranthmoor.daemon.node.PeerLinks;
+import org.amaranthmoor.daemon.node.PeerServer;
+import org.amaranthmoor.daemon.operator.AdminHandler;
+import org.amaranthmoor.daemon.operator.StatusCollector;
+import org.amaranthmoor.daemon.platform.Announcer;
+import org.amaranthmoor.daemon.platform.Checkpointer;
+import org.amaranthmoor.daemon.platform.HttpPlatformLog;
+import org.amaranthmoor.daemon.platform.LogFollower;
+import org.amaranthmoor.daemon.platform.PeerStateReader;
+import org.amaranthmoor.daemon.settings.Endpoint;
+import org.amaranthmoor.daemon.settings.NodeSettings;
+import org.amaranthmoor.daemon.target.LeaseKeeper;
+import org.amaranthmoor.daemon.target.StoredAnswer;
+import org.amaranthmoor.daemon.target.TargetConnections;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.Rendezvous;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.GossipTimings;
+import org.amaranthmoor.node.Member;
+import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.platform.Announced;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.PlatformLog;
+import org.amaranthmoor.platform.StateHolder;
+import org.amaranthmoor.platform.StateReader;
+import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.ExchangeLedger;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.Homes;
+import org.amaranthmoor.target.KeyLedger;
+
+/**
+ * One node, put together and running.
+ *
+ * <p>Safe for use by several threads; {@link #stop} is a planned stop and may be called once.
+ */
+public final class NodeDaemon {
+
+  private static final int MAX_KEYS = 60_000;
+  private static final int MAX_ANSWER_BYTES = 8 << 20;
+  private static final long TICK_MILLIS = 100;
+  private static final long SLOW_TICK_MILLIS = 1_000;
+  private static final long EVICT_AFTER_NANOS = 10_000_000_000L;
+  private static final long EVICT_STEP_NANOS = 3_000_000_000L;
+  private static final long NOTICE_MILLIS = 1_000;
+  private static final long POLL_MILLIS = 20;
+
+  private final NodeSettings settings;
+  private final TimeSource time;
+  private final EventLog log;
+  private final NodeIdentity identity;
+  private final NodeMetrics metrics = new NodeMetrics();
+  private final StateHolder holder = new StateHolder();
+  private final Membership membership;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+  private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+  private final AtomicReference<HomeDuty> duty;
+  private final TargetSide targetSide;
+  private final EntryViews views;
+  private final PeerLinks links;
+  private final CallerHandler callerHandler;
+  private final Announcer announcer;
+  private final Checkpointer checkpointer;
+  private final LeaseKeeper leaseKeeper;
+  private final PeerStateReader peerStates;
+  private final LogFollower follower;
+  private final StatusCollector statusCollector;
+  private final PeerServer peerServer;
+  private final GossipSocket gossip;
+  private final HttpListener callerListener;
+  private final HttpListener adminListener;
+  private volatile boolean announcedOnce;
+  private volatile boolean draining;
+  private volatile boolean logReadToEnd;
+
+  /**
+   * Creates a node and opens its ports; {@link #start} lets it take part.
+   *
+   * @param settings its settings
+   * @param time the time
+   * @param log events
+   * @throws IOException if a port cannot be opened
+   */
+  public NodeDaemon(NodeSettings settings, TimeSource time, EventLog log) throws IOException {
+    this.settings = settings;
+    this.time = time;
+    this.log = log;
+    this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
+    this.membership =
+        new Membership(
+            self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
+    this.duty = new AtomicReference<>(new HomeDuty(homeMember()));
+    this.targetSide = createTargetSide();
+    this.views = new EntryViews(settings.zone(), membership, time);
+    this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
+    NodeQueries queries =
+        new NodeQueries(settings, identity, holder, duty, targetSide, views, time);
+    TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
+    EntrySide entrySide = new EntrySide(views, access, links, metrics, time);
+    this.callerHandler = new CallerHandler(views, entrySide, time);
+    PlatformLog platformLog = new HttpPlatformLog(settings.platform());
+    StateReader stateReader = new StateReader(platformLog);
+    this.announcer = new Announcer(settings, identity, platformLog, log);
+    this.checkpointer =
+        new Checkpointer(
+            stateReader,
+            platformLog,
+            holder,
+            settings.node(),
+            settings.retentionMillis(),
+            time,
+            log);
+    this.leaseKeeper = new LeaseKeeper(identity, holder, duty, links, executor, time);
+    this.peerStates = new PeerStateReader(links);
+    this.follower = new LogFollower(stateReader, holder, this::onLogEnd, time, log);
+    this.statusCollector =
+        new StatusCollector(settings.node(), holder, membership, links, queries, executor);
+    holder.addListener(this::onState);
+    addGauges();
+    this.peerServer =
+        new PeerServer(
+            settings.host(),
+            settings.nodePort(),
+            group,
+            targetSide,
+            new ExchangeLedger(),
+            queries,
+            identity,
+            executor,
+            metrics,
+            time);
+    this.gossip =
+        new GossipSocket(
+            settings.host(),
+            settings.nodePort(),
+            group,
+            membership,
+            this::onPeerOffset,
+            metrics,
+            time);
+    this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
+    this.adminListener =
+        new HttpListener(
+            address(settings.adminPort()),
+            new AdminHandler(
+                metrics, this::obstacle, () -> statusCollector.collect(follower.available())));
+  }
+
+  private TargetSide createTargetSide() {
+    Admission admission =
+        new Admission(
+            settings.target().slots(),
+            settings.target().queue(),
+            RandomGenerator.getDefault(),
+            time.nanos());
+    KeyLedger<StoredAnswer> keys = new KeyLedger<>(MAX_KEYS, MAX_ANSWER_BYTES, StoredAnswer::bytes);
+    TargetConnections connections = new TargetConnections(settings.target(), time);
+    return new TargetSide(admission, keys, duty, connections, time);
+  }
+
+  private InetSocketAddress address(int port) {
+    return new InetSocketAddress(settings.host(), port);
+  }
+
+  private Member self() {
+    return new Member(
+        settings.node(),
+        identity.incarnation(),
+        Member.Liveness.ALIVE,
+        settings.host(),
+        settings.nodePort(),
+        settings.zone(),
+        settings.region(),
+        false,
+        0);
+  }
+
+  private Homes.Member homeMember() {
+    return new Homes.Member(settings.node(), identity.incarnation());
+  }
+
+  private void addGauges() {
+    metrics.gauge(
+        "amaranthmoor.config.offset",
+        "Offset of the state in force",
+        () -> holder.current().offset());
+    metrics.gauge(
+        "amaranthmoor.target.in.flight",
+        "Requests at the target",
+        () -> targetSide.load().inFlight());
+    metrics.gauge(
+        "amaranthmoor.target.queued",
+        "Requests waiting for the target",
+        () -> targetSide.load().queued());
+    metrics.gauge(
+        "amaranthmoor.members.reachable",
+        "Members believed alive",
+        () -> membership.members().stream().filter(Member::reachable).count());
+    metrics.gauge(
+        "amaranthmoor.log.available",
+        "1 if the platform's log answers",
+        () -> follower.available() ? 1 : 0);
+  }
+
+  /** Lets the node take part. */
+  public void start() {
+    follower.start();
+    settings.peers().forEach(this::introduce);
+    repeat(this::tick, TICK_MILLIS);
+    repeat(this::slowTick, SLOW_TICK_MILLIS);
+    log.info(
+        "node-started",
+        () ->
+            "node="
+                + settings.node()
+                + " incarnation="
+                + identity.incarnation()
+                + " caller-port="
+                + settings.callerPort()
+                + " node-port="
+                + settings.nodePort()
+                + " admin-port="
+                + settings.adminPort());
+  }
+
+  private void repeat(Runnable task, long periodMillis) {
+    var unused =
+        scheduler.scheduleWithFixedDelay(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void introduce(Endpoint peer) {
+    gossip.send(List.of(membership.syncRequest(peer.host(), peer.port())));
+  }
+
+  private void onState(ClusterState state, boolean contiguous) {
+    state.announced().values().forEach(announced -> membership.learn(toMember(announced)));
+    membership.setConfigOffset(state.offset());
+    takeHomes(state, contiguous);
+    views.rebuild(state);
+  }
+
+  private void takeHomes(ClusterState state, boolean contiguous) {
+    Announcer.Standing standing = announcer.standing(state, announcedOnce);
+    switch (standing) {
+      case ANNOUNCED -> announcedOnce = true;
+      case EVICTED -> rejoin();
+      case MISSING -> {}
+    }
+    Optional<ServiceName> service = state.serviceOf(settings.target().name());
+    Homes homes = service.map(name -> Homes.of(state, name)).orElseGet(() -> new Homes(List.of()));
+    duty.get().onHomes(homes, contiguous, time.wallMillis());
+  }
+
+  // A node that was evicted while it was alive takes part again as a new incarnation.
+  private void rejoin() {
+    if (draining) {
+      return;
+    }
+    Incarnation fresh = identity.renew(time.wallMillis());
+    announcedOnce = false;
+    duty.set(new HomeDuty(homeMember()));
+    membership.renew(fresh);
+    log.warn("evicted-while-alive", () -> "incarnation=" + fresh);
+  }
+
+  private static Member toMember(Announced announced) {
+    return new Member(
+        announced.node(),
+        announced.incarnation(),
+        Member.Liveness.ALIVE,
+        announced.host(),
+        announced.port(),
+        announced.zone(),
+        announced.region(),
+        false,
+        0);
+  }
+
+  private void onLogEnd(long startedNanos) {
+    logReadToEnd = true;
+    duty.get().onLogRead(startedNanos);
+  }
+
+  private void onPeerOffset(long offset) {
+    if (offset > holder.current().offset() && !follower.available()) {
+      executor.execute(this::readStateFromPeer);
+    }
+  }
+
+  private void readStateFromPeer() {
+    List<Member> peers =
+        membership.members().stream()
+            .filter(member -> member.reachable() && !member.node().equals(settings.node()))
+            .toList();
+    if (peers.isEmpty()) {
+      return;
+    }
+    Member peer = peers.get(ThreadLocalRandom.current().nextInt(peers.size()));
+    PeerAddress address =
+        new PeerAddress(peer.node(), peer.incarnation(), peer.host(), peer.port());
+    peerStates
+        .read(address, holder.current().offset())
+        .ifPresent(
+            state -> {
+              if (holder.advance(state, false)) {
+                log.info(
+                    "state-from-peer", () -> "peer=" + peer.node() + " offset=" + state.offset());
+              }
+            });
+  }
+
+  private void tick() {
+    guarded(gossip::tick);
+  }
+
+  private void slowTick() {
+    guarded(
+        () -> {
+          ClusterState state = holder.current();
+          views.rebuild(state);
+          executor.execute(this::announceIfMissing);
+          leaseKeeper.askAll();
+          evictDead(state);
+          List<NodeName> reachable =
+              membership.members().stream().filter(Member::reachable).map(Member::node).toList();
+          executor.execute(() -> guarded(() -> checkpointer.runIfDue(reachable)));
+          links.closeIf(this::isGone);
+          if (state.offset() == ClusterState.NO_OFFSET) {
+            settings.peers().forEach(this::introduce);
+          }
+        });
+  }
+
+  private void announceIfMissing() {
+    boolean missing =
+        announcer.standing(holder.current(), announcedOnce) == Announcer.Standing.MISSING;
+    if (missing && !draining && logReadToEnd) {
+      guarded(announcer::announce);
+    }
+  }
+
+  // The best ranked member of the service of a dead node evicts it; others follow later.
+  private void evictDead(ClusterState state) {
+    Optional<Homes> homes = duty.get().current();
+    List<NodeName> candidates = new ArrayList<>();
+    homes.ifPresent(set -> set.members().forEach(member -> candidates.add(member.node())));
+    for (Member dead : membership.deadFor(EVICT_AFTER_NANOS, time.nanos())) {
+      Announced announced = state.announced().get(dead.node());
+      boolean current = announced != null && announced.incarnation().equals(dead.incarnation());
+      List<NodeName> ranked =
+          Rendezvous.rank(Rendezvous.hash(dead.node().value()), candidates).stream()
+              .filter(node -> !node.equals(dead.node()))
+              .toList();
+      int rank = ranked.indexOf(settings.node());
+      boolean turn =
+          rank >= 0
+              && membership
+                  .deadFor(EVICT_AFTER_NANOS + rank * EVICT_STEP_NANOS, time.nanos())
+                  .contains(dead);
+      if (current && turn && candidates.contains(dead.node())) {
+        duty.get().onEvictionRequested();
+        executor.execute(() -> guarded(() -> announcer.evict(dead.node(), dead.incarnation())));
+      }
+    }
+  }
+
+  private boolean isGone(PeerAddress address) {
+    Optional<Member> member = membership.member(address.node());
+    return member.isPresent()
+        && (!member.get().reachable()
+            || member.get().incarnation().compareTo(address.incarnation()) > 0);
+  }
+
+  private void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      log.warn("task-failed", () -> "error=" + EventLog.quote(e.toString()));
+    }
+  }
+
+  private String obstacle() {
+    if (draining) {
+      return "draining";
+    }
+    return views.current().isPresent() ? "" : "no configuration yet";
+  }
+
+  /**
+   * Stops as planned: refuses new work at once, lets requests in progress end, leaves, and closes.
+   *
+   * <p>Blocks until all is closed, at most a little longer than the drain limit.
+   *
+   * @return whether every request in progress ended within the limit
+   */
+  public boolean stop() {
+    draining = true;
+    log.info("drain-started", () -> "in-progress=" + inProgress());
+    membership.leave();
+    targetSide.drain();
+    guarded(announcer::leave);
+    long limit = time.nanos() + TimeUnit.MILLISECONDS.toNanos(settings.drainLimitMillis());
+    long notice = time.nanos() + TimeUnit.MILLISECONDS.toNanos(NOTICE_MILLIS);
+    boolean finished = awaitIdle(notice, limit);
+    log.info("drain-ended", () -> "finished=" + finished + " in-progress=" + inProgress());
+    close();
+    return finished;
+  }
+
+  // Calls that enter here are still served elsewhere until the others have had notice.
+  private boolean awaitIdle(long notice, long limit) {
+    while (inProgress() > 0 || time.nanos() < notice) {
+      if (time.nanos() >= limit && time.nanos() >= notice) {
+        return inProgress() == 0;
+      }
+      try {
+        Thread.sleep(POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private int inProgress() {
+    return targetSide.running() + callerHandler.inProgress();
+  }
+
+  private void close() {
+    scheduler.shutdownNow();
+    follower.close();
+    callerListener.close();
+    adminListener.close();
+    peerServer.close();
+    gossip.close();
+    links.close();
+    executor.shutdownNow();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryView.java
@@ -0,0 +1,33 @@
+package org.amaranthmoor.daemon.caller;
+
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthmoor.caller.RouteTable;
+import org.amaranthmoor.model.ServiceName;
+
+/**
+ * Everything the path of a request reads, as one value that is replaced as a whole.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param offset log offset of the configuration
+ * @param routes finds routes
+ * @param services the services
+ */
+public record EntryView(long offset, RouteTable routes, Map<ServiceName, ServiceView> services) {
+
+  /** Copies the services. */
+  public EntryView {
+    services = Map.copyOf(services);
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name the service
+   * @return the view of it, or empty if it does not exist
+   */
+  public Optional<ServiceView> service(ServiceName name) {
+    return Optional.ofNullable(services.get(name));
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
@@ -0,0 +1,70 @@
+package org.amaranthmoor.daemon.caller;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.amaranthmoor.daemon.exchange.BodyPipe;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.CreditGate;
+import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.daemon.target.InboundCall;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.target.HandOver;
+
+/**
+ * An attempt at this node's own target side.
+ *
+ * <p>Used by the call's thread; the request runs on a virtual thread of its own.
+ */
+final class LocalExchange implements Exchange {
+
+  private final CompletableFuture<Outcome<CallResponse>> outcome = new CompletableFuture<>();
+  private final BodyPipe body = new BodyPipe(CreditGate.FIRST_WINDOW, bytes -> {});
+  private final InboundCall call;
+
+  private LocalExchange(CallRequest request) {
+    this.call = new InboundCall(request, body, new HandOver());
+  }
+
+  static LocalExchange start(TargetSide targetSide, CallRequest request, ExecutorService executor) {
+    LocalExchange exchange = new LocalExchange(request);
+    executor.execute(() -> exchange.run(targetSide));
+    return exchange;
+  }
+
+  private void run(TargetSide targetSide) {
+    outcome.complete(targetSide.run(call));
+    body.close();
+  }
+
+  @Override
+  public Optional<Outcome<CallResponse>> await(long nanos) throws InterruptedException {
+    try {
+      return Optional.of(outcome.get(nanos, TimeUnit.NANOSECONDS));
+    } catch (TimeoutException e) {
+      return Optional.empty();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("outcomes are never exceptions", e);
+    }
+  }
+
+  @Override
+  public boolean send(byte[] bytes, boolean last) throws InterruptedException {
+    boolean taken = bytes.length == 0 || body.write(bytes);
+    if (last) {
+      body.finish();
+    }
+    return taken && !outcome.isDone();
+  }
+
+  @Override
+  public void cancel() {
+    body.fail("the call was cancelled");
+    call.cancel();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Takes callers' requests over HTTP, routes them, and answers with the outcome. */
+package org.amaranthmoor.daemon.caller;
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
@@ -0,0 +1,189 @@
+package org.amaranthmoor.daemon.exchange;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InterruptedIOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.IntConsumer;
+
+/**
+ * Carries a body from the thread that receives it to the thread that uses it.
+ *
+ * <p>The receiver may hold back by flow control: as the user reads, {@code onRead} is told how many
+ * bytes may be sent again. Invariant: the user sees every byte in order and then the end, or an
+ * {@link IOException}; a body that broke off is never taken for a whole one. Safe for one writer
+ * and one reader.
+ */
+public final class BodyPipe extends InputStream {
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition changed = lock.newCondition();
+  private final Deque<byte[]> chunks = new ArrayDeque<>();
+  private final int capacity;
+  private final IntConsumer onRead;
+  private int position;
+  private int held;
+  private boolean finished;
+  private boolean closed;
+  private Optional<String> failure = Optional.empty();
+
+  /**
+   * Creates an empty pipe.
+   *
+   * @param capacity bytes held before {@link #write} waits
+   * @param onRead told how many bytes were read, outside the lock
+   */
+  public BodyPipe(int capacity, IntConsumer onRead) {
+    this.capacity = capacity;
+    this.onRead = onRead;
+  }
+
+  /**
+   * Adds bytes without waiting; for writers that are held back by credit.
+   *
+   * @param bytes the bytes; not to be changed afterwards
+   */
+  public void offer(byte[] bytes) {
+    lock.lock();
+    try {
+      add(bytes);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Adds bytes, waiting while the pipe is full.
+   *
+   * @param bytes the bytes; not to be changed afterwards
+   * @return false if the reader has closed the pipe or it failed
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public boolean write(byte[] bytes) throws InterruptedException {
+    lock.lockInterruptibly();
+    try {
+      while (held >= capacity && !closed && failure.isEmpty()) {
+        changed.await();
+      }
+      if (closed || failure.isPresent()) {
+        return false;
+      }
+      add(bytes);
+      return true;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void add(byte[] bytes) {
+    if (bytes.length > 0 && !closed) {
+      chunks.addLast(bytes);
+      held += bytes.length;
+      changed.signalAll();
+    }
+  }
+
+  /** Marks the end of the body. */
+  public void finish() {
+    lock.lock();
+    try {
+      finished = true;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Breaks the body off.
+   *
+   * @param reason one line for people
+   */
+  public void fail(String reason) {
+    lock.lock();
+    try {
+      if (!finished) {
+        failure = Optional.of(reason);
+        changed.signalAll();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  @Override
+  public int read() throws IOException {
+    byte[] one = new byte[1];
+    int count = read(one, 0, 1);
+    return count < 0 ? -1 : one[0] & 0xFF;
+  }
+
+  @Override
+  public int read(byte[] buffer, int offset, int length) throws IOException {
+    if (length == 0) {
+      return 0;
+    }
+    int count = take(buffer, offset, length);
+    if (count > 0) {
+      onRead.accept(count);
+    }
+    return count;
+  }
+
+  private int take(byte[] buffer, int offset, int length) throws IOException {
+    lock.lock();
+    try {
+      awaitData();
+      if (chunks.isEmpty()) {
+        return -1;
+      }
+      byte[] first = chunks.getFirst();
+      int count = Math.min(length, first.length - position);
+      System.arraycopy(first, position, buffer, offset, count);
+      position += count;
+      held -= count;
+      if (position == first.length) {
+        chunks.removeFirst();
+        position = 0;
+      }
+      changed.signalAll();
+      return count;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void awaitData() throws IOException {
+    while (chunks.isEmpty() && !finished) {
+      if (failure.isPresent()) {
+        throw new IOException(failure.get());
+      }
+      if (closed) {
+        throw new IOException("the body was closed");
+      }
+      try {
+        changed.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new InterruptedIOException("interrupted while waiting for the body");
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    lock.lock();
+    try {
+      closed = true;
+      chunks.clear();
+      held = 0;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
@@ -0,0 +1,69 @@
+package org.amaranthmoor.daemon.exchange;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthmoor.model.IdempotencyKey;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.ServiceName;
+
+/**
+ * A caller's request, without the rest of a long body.
+ *
+ * <p>Immutable but for the prefix, which must not be changed; safe for use by several threads.
+ *
+ * @param service the service
+ * @param method the HTTP method
+ * @param path the path with query
+ * @param headers headers for the target, without those of the connection
+ * @param deadlineNanos the deadline in monotonic nanoseconds of this process
+ * @param attempt attempt number, 1 for the first
+ * @param idempotent whether the request may be run again
+ * @param priority order in which it gets a slot
+ * @param key the caller's key, if the request is not idempotent and has one
+ * @param prefix first bytes of the body
+ * @param complete whether the prefix is the whole body
+ * @param bodyLength length of the whole body in bytes, or -1 if not known
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record CallRequest(
+    ServiceName service,
+    String method,
+    String path,
+    List<HeaderField> headers,
+    long deadlineNanos,
+    int attempt,
+    boolean idempotent,
+    Priority priority,
+    Optional<IdempotencyKey> key,
+    byte[] prefix,
+    boolean complete,
+    long bodyLength) {
+
+  /** Most bytes of a body that an entry side keeps for another attempt. */
+  public static final int MAX_PREFIX_BYTES = 64 * 1024;
+
+  /** Length of a body whose length is not known. */
+  public static final long UNKNOWN_LENGTH = -1;
+
+  /**
+   * Returns the same request as another attempt.
+   *
+   * @param number the attempt number
+   * @return the request
+   */
+  public CallRequest withAttempt(int number) {
+    return new CallRequest(
+        service,
+        method,
+        path,
+        headers,
+        deadlineNanos,
+        number,
+        idempotent,
+        priority,
+        key,
+        prefix,
+        complete,
+        bodyLength);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -0,0 +1,122 @@
+package org.amaranthmoor.daemon.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.HttpService;
+import org.apache.hc.core5.http.io.HttpServerRequestHandler;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Serves HTTP/1.1 with one virtual thread for each connection.
+ *
+ * <p>A handler that throws after the head of an answer was sent breaks the connection, so that no
+ * client takes a part for the whole. Safe for use by several threads.
+ */
+public final class HttpListener implements AutoCloseable {
+
+  /** Name under which the connection stands in the context of a request. */
+  public static final String CONNECTION = "amaranthmoor.connection";
+
+  private static final int BACKLOG = 512;
+  private static final Timeout IDLE_TIMEOUT = Timeout.ofMinutes(2);
+  private static final Http1Config CONFIG =
+      Http1Config.custom().setMaxHeaderCount(128).setMaxLineLength(16_384).build();
+
+  private final ServerSocket serverSocket;
+  private final HttpService service;
+  private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+  private final Set<DefaultBHttpServerConnection> connections = ConcurrentHashMap.newKeySet();
+  private volatile boolean closed;
+
+  /**
+   * Opens the port and starts to accept connections.
+   *
+   * @param address the address to listen at
+   * @param handler handles requests, each on its connection's thread
+   * @throws IOException if the port cannot be opened
+   */
+  public HttpListener(InetSocketAddress address, HttpServerRequestHandler handler)
+      throws IOException {
+    this.service = new HttpService(HttpProcessors.server("amaranthmoor"), handler);
+    this.serverSocket = new ServerSocket();
+    serverSocket.setReuseAddress(true);
+    serverSocket.bind(address, BACKLOG);
+    Thread.ofPlatform().name("http-accept-" + address.getPort()).daemon().start(this::acceptAll);
+  }
+
+  /** Returns the port that is open. */
+  public int port() {
+    return serverSocket.getLocalPort();
+  }
+
+  private void acceptAll() {
+    while (!closed) {
+      try {
+        Socket socket = serverSocket.accept();
+        executor.execute(() -> serve(socket));
+      } catch (IOException e) {
+        if (!closed) {
+          pauseAfterFailedAccept();
+        }
+      }
+    }
+  }
+
+  // Gives descriptors time to be freed when the process has run out of them.
+  private static void pauseAfterFailedAccept() {
+    try {
+      Thread.sleep(10);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void serve(Socket socket) {
+    DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", CONFIG);
+    connections.add(connection);
+    try {
+      socket.setTcpNoDelay(true);
+      connection.bind(socket);
+      connection.setSocketTimeout(IDLE_TIMEOUT);
+      while (!closed && connection.isOpen()) {
+        HttpCoreContext context = HttpCoreContext.create();
+        context.setAttribute(CONNECTION, connection);
+        service.handleRequest(connection, context);
+      }
+    } catch (ConnectionClosedException | SocketException | java.net.SocketTimeoutException e) {
+      // The client went away or stayed idle, which ends the connection.
+    } catch (IOException | HttpException | RuntimeException e) {
+      connection.close(CloseMode.IMMEDIATE);
+    } finally {
+      connection.close(CloseMode.GRACEFUL);
+      connections.remove(connection);
+    }
+  }
+
+  /** Stops accepting and closes all connections at once. */
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      serverSocket.close();
+    } catch (IOException e) {
+      // The port is given up in any case.
+    }
+    connections.forEach(connection -> connection.close(CloseMode.IMMEDIATE));
+    executor.shutdownNow();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines. */
+package org.amaranthmoor.daemon.log;
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -0,0 +1,133 @@
+package org.amaranthmoor.daemon.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.amaranthmoor.model.ServiceName;
+
+/**
+ * Counts what a node does.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class NodeMetrics {
+
+  private static final Duration[] LATENCY_BUCKETS = {
+    Duration.ofMillis(1),
+    Duration.ofMillis(5),
+    Duration.ofMillis(10),
+    Duration.ofMillis(25),
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(250),
+    Duration.ofMillis(500),
+    Duration.ofSeconds(1),
+    Duration.ofSeconds(5)
+  };
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Counter lateFrames =
+      Counter.builder("amaranthmoor.late.frames")
+          .description("Frames that belonged to no request and were dropped")
+          .register(registry);
+  private final Counter controlBytes =
+      Counter.builder("amaranthmoor.control.bytes")
+          .description("Bytes of gossip, probes, leases and state, sent and received")
+          .baseUnit("bytes")
+          .register(registry);
+  private final Counter retries =
+      Counter.builder("amaranthmoor.retries").description("Repeated attempts").register(registry);
+  private final Counter violations =
+      Counter.builder("amaranthmoor.invariant.violations")
+          .description("Invariants found broken; always 0 in a correct program")
+          .register(registry);
+  private final Map<OutcomeKey, Counter> outcomes = new ConcurrentHashMap<>();
+  private final Map<ServiceName, Timer> latencies = new ConcurrentHashMap<>();
+
+  private record OutcomeKey(ServiceName service, String outcome, int code) {}
+
+  /** Creates metrics that are all zero. */
+  public NodeMetrics() {}
+
+  /**
+   * Counts a call that ended at this entry side.
+   *
+   * @param service the service
+   * @param outcome answered, not-run or unknown
+   * @param code number of the result code, 0 for a target's answer
+   * @param nanos time from arrival to the answer's head
+   */
+  public void call(ServiceName service, String outcome, int code, long nanos) {
+    outcomes.computeIfAbsent(new OutcomeKey(service, outcome, code), this::outcome).increment();
+    latencies.computeIfAbsent(service, this::latency).record(Duration.ofNanos(nanos));
+  }
+
+  private Counter outcome(OutcomeKey key) {
+    return Counter.builder("amaranthmoor.calls")
+        .description("Calls that ended at this entry side")
+        .tag("service", key.service.value())
+        .tag("outcome", key.outcome)
+        .tag("code", Integer.toString(key.code))
+        .register(registry);
+  }
+
+  private Timer latency(ServiceName service) {
+    return Timer.builder("amaranthmoor.call.latency")
+        .description("Time from arrival of a call to the head of its answer")
+        .tag("service", service.value())
+        .serviceLevelObjectives(LATENCY_BUCKETS)
+        .register(registry);
+  }
+
+  /** Counts a frame that belonged to no request. */
+  public void lateFrame() {
+    lateFrames.increment();
+  }
+
+  /**
+   * Counts bytes sent or received for control.
+   *
+   * @param bytes the bytes
+   */
+  public void controlBytes(int bytes) {
+    controlBytes.increment(bytes);
+  }
+
+  /** Returns the bytes sent and received for control. */
+  public double controlBytes() {
+    return controlBytes.count();
+  }
+
+  /** Counts a repeated attempt. */
+  public void retry() {
+    retries.increment();
+  }
+
+  /** Counts an invariant found broken. */
+  public void violation() {
+    violations.increment();
+  }
+
+  /**
+   * Adds a value that is read when metrics are.
+   *
+   * @param name the metric's name
+   * @param description what it is
+   * @param value reads the value
+   */
+  public void gauge(String name, String description, Supplier<Number> value) {
+    Gauge.builder(name, value).description(description).register(registry);
+  }
+
+  /** Renders all metrics in the text format of Prometheus. */
+  public String render() {
+    return registry.scrape();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of a node. */
+package org.amaranthmoor.daemon.metrics;
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ClientStream.java
@@ -0,0 +1,139 @@
+package org.amaranthmoor.daemon.node;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.amaranthmoor.daemon.exchange.BodyPipe;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.CreditGate;
+import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.protocol.node.Failed;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.Refused;
+import org.amaranthmoor.protocol.node.ResponseHead;
+
+/**
+ * The entry side's end of one call over a link.
+ *
+ * <p>Invariant: it completes with exactly one outcome. Safe for use by several threads: the link's
+ * event loop feeds it, the call's thread uses it.
+ */
+final class ClientStream implements Exchange {
+
+  private final long id;
+  private final PeerLink link;
+  private final boolean idempotent;
+  private final CompletableFuture<Outcome<CallResponse>> outcome = new CompletableFuture<>();
+  private final CreditGate gate = new CreditGate();
+  private final BodyPipe responseBody;
+
+  ClientStream(long id, PeerLink link, boolean idempotent) {
+    this.id = id;
+    this.link = link;
+    this.idempotent = idempotent;
+    this.responseBody =
+        new BodyPipe(Integer.MAX_VALUE, bytes -> link.send(Frames.credit(id, bytes)));
+  }
+
+  long id() {
+    return id;
+  }
+
+  boolean idempotent() {
+    return idempotent;
+  }
+
+  @Override
+  public Optional<Outcome<CallResponse>> await(long nanos) throws InterruptedException {
+    try {
+      return Optional.of(outcome.get(nanos, TimeUnit.NANOSECONDS));
+    } catch (TimeoutException e) {
+      return Optional.empty();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("outcomes are never exceptions", e);
+    }
+  }
+
+  @Override
+  public boolean send(byte[] bytes, boolean last) throws InterruptedException {
+    for (int from = 0; from < bytes.length; from += Frames.MAX_DATA_BYTES) {
+      int to = Math.min(bytes.length, from + Frames.MAX_DATA_BYTES);
+      if (!gate.take(to - from)) {
+        return false;
+      }
+      byte[] piece = java.util.Arrays.copyOfRange(bytes, from, to);
+      link.send(Frames.data(id, piece, last && to == bytes.length));
+    }
+    if (bytes.length == 0 && last) {
+      link.send(Frames.data(id, bytes, true));
+    }
+    return !outcome.isDone();
+  }
+
+  @Override
+  public void cancel() {
+    if (link.forget(this)) {
+      link.send(Frames.cancel(id));
+    }
+    gate.close();
+    responseBody.close();
+    outcome.complete(
+        new Outcome.Unknown<>(ResultCode.DEADLINE_AFTER_START, "the call was given up"));
+  }
+
+  void onCredit(int bytes) {
+    gate.grant(bytes);
+  }
+
+  void onRefused(Refused refused) {
+    link.forget(this);
+    complete(
+        new Outcome.NotRun<>(
+            ResultCode.of(refused.getCode()), refused.getRetryAfterMillis(), refused.getDetail()));
+  }
+
+  void onFailed(Failed failed) {
+    link.forget(this);
+    responseBody.fail(failed.getDetail());
+    complete(new Outcome.Unknown<>(ResultCode.of(failed.getCode()), failed.getDetail()));
+  }
+
+  void onHead(ResponseHead head) {
+    if (head.getComplete()) {
+      link.forget(this);
+      CallResponse.Body whole = new CallResponse.Body.Whole(head.getBody().toByteArray());
+      complete(new Outcome.Answered<>(Frames.toResponse(head, whole)));
+      return;
+    }
+    StreamedBody body = new StreamedBody(responseBody, this::cancel);
+    CallResponse.Body streamed = new CallResponse.Body.Streamed(body, head.getBodyLength());
+    complete(new Outcome.Answered<>(Frames.toResponse(head, streamed)));
+  }
+
+  void onData(Frame frame) {
+    responseBody.offer(frame.getData().getBytes().toByteArray());
+    if (frame.getData().getLast()) {
+      link.forget(this);
+      responseBody.finish();
+    }
+  }
+
+  /** Ends the call with an outcome that was found after the link was lost. */
+  void onLost(Outcome<CallResponse> found) {
+    responseBody.fail("the link to the target side was lost");
+    complete(found);
+  }
+
+  boolean answered() {
+    return outcome.isDone();
+  }
+
+  private void complete(Outcome<CallResponse> result) {
+    gate.close();
+    outcome.complete(result);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/FrameChannels.java
@@ -0,0 +1,40 @@
+package org.amaranthmoor.daemon.node;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import java.util.function.Supplier;
+import org.amaranthmoor.protocol.node.Frame;
+
+/**
+ * Sets a channel up to carry frames.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class FrameChannels extends ChannelInitializer<Channel> {
+
+  private static final int LENGTH_BYTES = 4;
+
+  private final Supplier<ChannelHandler> handler;
+
+  FrameChannels(Supplier<ChannelHandler> handler) {
+    this.handler = handler;
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    channel
+        .pipeline()
+        .addLast(
+            new LengthFieldBasedFrameDecoder(
+                Frames.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(new ProtobufEncoder())
+        .addLast(handler.get());
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -0,0 +1,204 @@
+package org.amaranthmoor.daemon.node;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.model.IdempotencyKey;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.protocol.node.Cancel;
+import org.amaranthmoor.protocol.node.Credit;
+import org.amaranthmoor.protocol.node.Data;
+import org.amaranthmoor.protocol.node.Failed;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.Header;
+import org.amaranthmoor.protocol.node.Load;
+import org.amaranthmoor.protocol.node.OpenCall;
+import org.amaranthmoor.protocol.node.Refused;
+import org.amaranthmoor.protocol.node.ResponseHead;
+
+/**
+ * Converts calls and answers to frames and back.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class Frames {
+
+  /** Largest frame, in bytes. */
+  static final int MAX_FRAME_BYTES = 512 * 1024;
+
+  /** Largest piece of a body in one frame, in bytes. */
+  static final int MAX_DATA_BYTES = 32 * 1024;
+
+  private static final long NANOS_PER_MICRO = 1_000;
+
+  private Frames() {}
+
+  static Frame openCall(
+      long stream, CallRequest request, Incarnation target, long offset, long nowNanos) {
+    OpenCall.Builder open =
+        OpenCall.newBuilder()
+            .setStream(stream)
+            .setService(request.service().value())
+            .setMethod(request.method())
+            .setPath(request.path())
+            .setDeadlineMicros(Math.max(0, request.deadlineNanos() - nowNanos) / NANOS_PER_MICRO)
+            .setAttempt(request.attempt())
+            .setIdempotent(request.idempotent())
+            .setPriority(priorityNumber(request.priority()))
+            .setTargetIncarnation(target.value())
+            .setBody(UnsafeByteOperations.unsafeWrap(request.prefix()))
+            .setBodyComplete(request.complete())
+            .setBodyLength(request.bodyLength())
+            .setConfigOffset(offset);
+    request.key().ifPresent(key -> open.setIdempotencyKey(key.toString()));
+    request.headers().forEach(header -> open.addHeaders(toMessage(header)));
+    return Frame.newBuilder().setOpenCall(open).build();
+  }
+
+  static CallRequest toRequest(OpenCall open, long nowNanos) {
+    return new CallRequest(
+        new ServiceName(open.getService()),
+        open.getMethod(),
+        open.getPath(),
+        toFields(open.getHeadersList()),
+        nowNanos + open.getDeadlineMicros() * NANOS_PER_MICRO,
+        open.getAttempt(),
+        open.getIdempotent(),
+        priorityOf(open.getPriority()),
+        key(open.getIdempotencyKey()),
+        open.getBody().toByteArray(),
+        open.getBodyComplete(),
+        open.getBodyLength());
+  }
+
+  private static Optional<IdempotencyKey> key(String text) {
+    return text.isEmpty() ? Optional.empty() : IdempotencyKey.parse(text);
+  }
+
+  private static int priorityNumber(Priority priority) {
+    return switch (priority) {
+      case CRITICAL -> 0;
+      case NORMAL -> 1;
+      case BROWSE -> 2;
+    };
+  }
+
+  private static Priority priorityOf(int number) {
+    return switch (number) {
+      case 0 -> Priority.CRITICAL;
+      case 2 -> Priority.BROWSE;
+      default -> Priority.NORMAL;
+    };
+  }
+
+  static Frame data(long stream, byte[] bytes, boolean last) {
+    Data data =
+        Data.newBuilder()
+            .setStream(stream)
+            .setBytes(UnsafeByteOperations.unsafeWrap(bytes))
+            .setLast(last)
+            .build();
+    return Frame.newBuilder().setData(data).build();
+  }
+
+  static Frame credit(long stream, int bytes) {
+    return Frame.newBuilder()
+        .setCredit(Credit.newBuilder().setStream(stream).setBytes(bytes))
+        .build();
+  }
+
+  static Frame cancel(long stream) {
+    return Frame.newBuilder().setCancel(Cancel.newBuilder().setStream(stream)).build();
+  }
+
+  static Frame refused(long stream, Outcome.NotRun<?> notRun, LoadReport load) {
+    Refused refused =
+        Refused.newBuilder()
+            .setStream(stream)
+            .setCode(notRun.code().number())
+            .setRetryAfterMillis((int) notRun.retryAfterMillis())
+            .setDetail(notRun.detail())
+            .setLoad(toMessage(load))
+            .build();
+    return Frame.newBuilder().setRefused(refused).build();
+  }
+
+  static Frame failed(long stream, ResultCode code, String detail, LoadReport load) {
+    Failed failed =
+        Failed.newBuilder()
+            .setStream(stream)
+            .setCode(code.number())
+            .setDetail(detail)
+            .setLoad(toMessage(load))
+            .build();
+    return Frame.newBuilder().setFailed(failed).build();
+  }
+
+  static Frame responseHead(long stream, CallResponse response, LoadReport load) {
+    ResponseHead.Builder head =
+        ResponseHead.newBuilder()
+            .setStream(stream)
+            .setStatus(response.status())
+            .setLoad(toMessage(load));
+    response.headers().forEach(header -> head.addHeaders(toMessage(header)));
+    switch (response.body()) {
+      case CallResponse.Body.Whole whole ->
+          head.setComplete(true)
+              .setBody(UnsafeByteOperations.unsafeWrap(whole.bytes()))
+              .setBodyLength(whole.bytes().length);
+      case CallResponse.Body.Streamed streamed -> head.setBodyLength(streamed.length());
+    }
+    return Frame.newBuilder().setResponseHead(head).build();
+  }
+
+  static CallResponse toResponse(ResponseHead head, CallResponse.Body body) {
+    return new CallResponse(
+        head.getStatus(),
+        toFields(head.getHeadersList()),
+        body,
+        Optional.of(toLoad(head.getLoad())));
+  }
+
+  static Load toMessage(LoadReport load) {
+    return Load.newBuilder()
+        .setInFlight(load.inFlight())
+        .setQueued(load.queued())
+        .setSlots(load.slots())
+        .setServiceTimeMicros(load.serviceTimeNanos() / NANOS_PER_MICRO)
+        .setDraining(load.draining())
+        .build();
+  }
+
+  static LoadReport toLoad(Load load) {
+    return new LoadReport(
+        load.getInFlight(),
+        load.getQueued(),
+        load.getSlots(),
+        load.getServiceTimeMicros() * NANOS_PER_MICRO,
+        load.getDraining());
+  }
+
+  static byte[] bytes(ByteString bytes) {
+    return bytes.toByteArray();
+  }
+
+  private static Header toMessage(HeaderField field) {
+    return Header.newBuilder().setName(field.name()).setValue(field.value()).build();
+  }
+
+  private static List<HeaderField> toFields(List<Header> headers) {
+    List<HeaderField> fields = new ArrayList<>(headers.size());
+    headers.forEach(header -> fields.add(new HeaderField(header.getName(), header.getValue())));
+    return List.copyOf(fields);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -0,0 +1,121 @@
+package org.amaranthmoor.daemon.node;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.protocol.node.Gossip;
+
+/**
+ * Sends and receives gossip over UDP.
+ *
+ * <p>Lost, repeated and reordered messages do no harm. Safe for use by several threads.
+ */
+public final class GossipSocket implements AutoCloseable {
+
+  /** Is told which offset another node has reached. */
+  public interface OffsetListener {
+    /**
+     * A node stated the offset of its configuration.
+     *
+     * @param offset the offset
+     */
+    void onPeerOffset(long offset);
+  }
+
+  private final Membership membership;
+  private final OffsetListener offsetListener;
+  private final NodeMetrics metrics;
+  private final TimeSource time;
+  private final Channel channel;
+
+  /**
+   * Opens the port.
+   *
+   * @param host the IP address to listen at
+   * @param port the port to listen at
+   * @param group event loops of the channel
+   * @param membership takes messages and decides what to send
+   * @param offsetListener is told which offsets other nodes have reached
+   * @param metrics counts bytes
+   * @param time the time
+   */
+  public GossipSocket(
+      String host,
+      int port,
+      EventLoopGroup group,
+      Membership membership,
+      OffsetListener offsetListener,
+      NodeMetrics metrics,
+      TimeSource time) {
+    this.membership = membership;
+    this.offsetListener = offsetListener;
+    this.metrics = metrics;
+    this.time = time;
+    this.channel =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver())
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Does what is due and sends the messages. */
+  public void tick() {
+    send(membership.tick(time.nanos()));
+  }
+
+  /**
+   * Sends messages.
+   *
+   * @param messages the messages
+   */
+  public void send(List<Membership.Outgoing> messages) {
+    for (Membership.Outgoing message : messages) {
+      byte[] bytes = message.message().toByteArray();
+      metrics.controlBytes(bytes.length);
+      InetSocketAddress to = new InetSocketAddress(message.host(), message.port());
+      channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    }
+  }
+
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+  }
+
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      byte[] bytes = ByteBufUtil.getBytes(packet.content());
+      metrics.controlBytes(bytes.length);
+      try {
+        Gossip gossip = Gossip.parseFrom(bytes);
+        send(membership.receive(gossip, time.nanos()));
+        offsetListener.onPeerOffset(gossip.getConfigOffset());
+      } catch (InvalidProtocolBufferException e) {
+        metrics.lateFrame();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // A datagram that could not be sent counts as lost.
+      metrics.lateFrame();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -0,0 +1,106 @@
+package org.amaranthmoor.daemon.node;
+
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Arrays;
+import org.amaranthmoor.daemon.exchange.BodyPipe;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.CreditGate;
+import org.amaranthmoor.daemon.target.InboundCall;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.protocol.node.Data;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.target.HandOver;
+
+/**
+ * The target side's end of one call over a link.
+ *
+ * <p>Safe for use by several threads: the event loop feeds it, one virtual thread runs it.
+ */
+final class InboundStream {
+
+  private final long id;
+  private final Channel channel;
+  private final TargetSide targetSide;
+  private final BodyPipe requestBody;
+  private final CreditGate gate = new CreditGate();
+  private final InboundCall call;
+
+  InboundStream(
+      long id, Channel channel, TargetSide targetSide, CallRequest request, HandOver handOver) {
+    this.id = id;
+    this.channel = channel;
+    this.targetSide = targetSide;
+    this.requestBody = new BodyPipe(Integer.MAX_VALUE, bytes -> send(Frames.credit(id, bytes)));
+    this.call = new InboundCall(request, requestBody, handOver);
+  }
+
+  void onData(Data data) {
+    requestBody.offer(data.getBytes().toByteArray());
+    if (data.getLast()) {
+      requestBody.finish();
+    }
+  }
+
+  void onCredit(int bytes) {
+    gate.grant(bytes);
+  }
+
+  void cancel() {
+    requestBody.fail("the call was cancelled");
+    gate.close();
+    call.cancel();
+  }
+
+  /** Runs the call and sends its answer. */
+  void run() {
+    Outcome<CallResponse> outcome = targetSide.run(call);
+    requestBody.close();
+    switch (outcome) {
+      case Outcome.NotRun<CallResponse> notRun ->
+          send(Frames.refused(id, notRun, targetSide.load()));
+      case Outcome.Unknown<CallResponse> unknown ->
+          send(Frames.failed(id, unknown.code(), unknown.detail(), targetSide.load()));
+      case Outcome.Answered<CallResponse> answered -> sendAnswer(answered.response());
+    }
+  }
+
+  private void sendAnswer(CallResponse response) {
+    send(Frames.responseHead(id, response, targetSide.load()));
+    if (response.body() instanceof CallResponse.Body.Streamed streamed) {
+      try (InputStream body = streamed.stream()) {
+        sendBody(body);
+      } catch (IOException e) {
+        fail(String.valueOf(e.getMessage()));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        fail("the target side is stopping");
+      }
+    }
+  }
+
+  private void sendBody(InputStream body) throws IOException, InterruptedException {
+    byte[] buffer = new byte[Frames.MAX_DATA_BYTES];
+    int count = body.read(buffer);
+    while (count >= 0) {
+      if (!gate.take(count)) {
+        throw new IOException("the entry side gave the call up");
+      }
+      send(Frames.data(id, Arrays.copyOf(buffer, count), false));
+      count = body.read(buffer);
+    }
+    send(Frames.data(id, new byte[0], true));
+  }
+
+  private void fail(String detail) {
+    send(Frames.failed(id, ResultCode.TARGET_BROKE_OFF, detail, targetSide.load()));
+  }
+
+  private void send(Frame frame) {
+    channel.writeAndFlush(frame, channel.voidPromise());
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeIdentity.java
@@ -0,0 +1,49 @@
+package org.amaranthmoor.daemon.node;
+
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+
+/**
+ * Name and incarnation of this node.
+ *
+ * <p>The incarnation only rises; it changes if the node was evicted while it was alive. Safe for
+ * use by several threads.
+ */
+public final class NodeIdentity {
+
+  private final NodeName node;
+  private final AtomicReference<Incarnation> incarnation;
+
+  /**
+   * Creates an identity.
+   *
+   * @param node the node
+   * @param incarnation the run of this process
+   */
+  public NodeIdentity(NodeName node, Incarnation incarnation) {
+    this.node = node;
+    this.incarnation = new AtomicReference<>(incarnation);
+  }
+
+  /** Returns the node. */
+  public NodeName node() {
+    return node;
+  }
+
+  /** Returns the newest incarnation. */
+  public Incarnation incarnation() {
+    return incarnation.get();
+  }
+
+  /**
+   * Takes a greater incarnation.
+   *
+   * @param wallMillis the current wall-clock time
+   * @return the new incarnation
+   */
+  public Incarnation renew(long wallMillis) {
+    return incarnation.updateAndGet(
+        old -> new Incarnation(Math.max(old.value() + 1, wallMillis * 1_000)));
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeQueries.java
@@ -0,0 +1,146 @@
+package org.amaranthmoor.daemon.node;
+
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.daemon.caller.EntryViews;
+import org.amaranthmoor.daemon.caller.ServiceView;
+import org.amaranthmoor.daemon.settings.NodeSettings;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.platform.CheckpointCodec;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.StateHolder;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.LeaseGrant;
+import org.amaranthmoor.protocol.node.LeaseRequest;
+import org.amaranthmoor.protocol.node.ServiceCounts;
+import org.amaranthmoor.protocol.node.StateReply;
+import org.amaranthmoor.protocol.node.StateRequest;
+import org.amaranthmoor.protocol.node.StatusReply;
+import org.amaranthmoor.protocol.node.WindowCounts;
+import org.amaranthmoor.report.BurnReport;
+import org.amaranthmoor.report.CallCounts;
+import org.amaranthmoor.target.HomeDuty;
+
+/**
+ * Answers queries from what this node holds.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class NodeQueries implements PeerQueries {
+
+  private static final int PIECE_BYTES = 128 * 1024;
+
+  private final NodeSettings settings;
+  private final NodeIdentity identity;
+  private final StateHolder holder;
+  private final AtomicReference<HomeDuty> duty;
+  private final TargetSide targetSide;
+  private final EntryViews views;
+  private final TimeSource time;
+
+  /**
+   * Creates answers.
+   *
+   * @param settings settings of this node
+   * @param identity this node
+   * @param holder the newest state
+   * @param duty knows the members of this target's service
+   * @param targetSide knows the load
+   * @param views holds the counts of calls
+   * @param time the time
+   */
+  public NodeQueries(
+      NodeSettings settings,
+      NodeIdentity identity,
+      StateHolder holder,
+      AtomicReference<HomeDuty> duty,
+      TargetSide targetSide,
+      EntryViews views,
+      TimeSource time) {
+    this.settings = settings;
+    this.identity = identity;
+    this.holder = holder;
+    this.duty = duty;
+    this.targetSide = targetSide;
+    this.views = views;
+    this.time = time;
+  }
+
+  @Override
+  public Frame answerLease(LeaseRequest request) {
+    LeaseGrant grant =
+        LeaseGrant.newBuilder()
+            .setQuery(request.getQuery())
+            .setGranter(identity.node().value())
+            .setGranterIncarnation(identity.incarnation().value())
+            .setGranted(duty.get().confirms(request.getFingerprint()))
+            .build();
+    return Frame.newBuilder().setLeaseGrant(grant).build();
+  }
+
+  @Override
+  public List<Frame> answerState(StateRequest request) {
+    ClusterState state = holder.current();
+    byte[] bytes =
+        state.offset() > request.getHaveOffset()
+            ? CheckpointCodec.write(state, identity.node(), 0)
+            : new byte[0];
+    List<Frame> frames = new ArrayList<>();
+    int from = 0;
+    do {
+      int to = Math.min(bytes.length, from + PIECE_BYTES);
+      frames.add(
+          piece(request.getQuery(), Arrays.copyOfRange(bytes, from, to), to == bytes.length));
+      from = to;
+    } while (from < bytes.length);
+    return frames;
+  }
+
+  private static Frame piece(long query, byte[] bytes, boolean last) {
+    StateReply reply =
+        StateReply.newBuilder()
+            .setQuery(query)
+            .setPiece(UnsafeByteOperations.unsafeWrap(bytes))
+            .setLast(last)
+            .build();
+    return Frame.newBuilder().setStateReply(reply).build();
+  }
+
+  @Override
+  public Frame answerStatus(long query) {
+    ClusterState state = holder.current();
+    StatusReply.Builder reply =
+        StatusReply.newBuilder()
+            .setQuery(query)
+            .setNode(identity.node().value())
+            .setIncarnation(identity.incarnation().value())
+            .setConfigOffset(views.current().map(view -> view.offset()).orElse(-1L))
+            .setDigest(CheckpointCodec.digest(state))
+            .setLoad(Frames.toMessage(targetSide.load()))
+            .setTarget(settings.target().name().value())
+            .setZone(settings.zone().value());
+    views
+        .current()
+        .ifPresent(view -> view.services().values().forEach(v -> reply.addServices(counts(v))));
+    return Frame.newBuilder().setStatusReply(reply).build();
+  }
+
+  private ServiceCounts counts(ServiceView view) {
+    ServiceCounts.Builder counts =
+        ServiceCounts.newBuilder().setService(view.spec().name().value());
+    for (int minutes : BurnReport.WINDOWS_MINUTES) {
+      CallCounts.Window window = view.counts().window(minutes, time.wallMillis());
+      counts.addWindows(
+          WindowCounts.newBuilder()
+              .setMinutes(minutes)
+              .setTotal(window.total())
+              .setFailed(window.failed())
+              .setSlow(window.slow()));
+    }
+    return counts.build();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -0,0 +1,227 @@
+package org.amaranthmoor.daemon.node;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.Hello;
+import org.amaranthmoor.protocol.node.StateReply;
+
+/**
+ * One TCP connection to another node's target side.
+ *
+ * <p>Invariants: a stream id is never used twice; a frame for a stream that is not known is dropped
+ * and counted; when the connection is lost every stream gets an outcome. Safe for use by several
+ * threads; frames arrive on the event loop.
+ */
+final class PeerLink extends SimpleChannelInboundHandler<Frame> {
+
+  /** What a link reports to its owner. */
+  interface Owner {
+    /** Takes in a load report of the link's node. */
+    void onLoad(PeerAddress address, LoadReport load);
+
+    /** Finds out what became of a request whose link was lost, and completes its stream. */
+    void settleLost(PeerLink link, ClientStream stream);
+
+    /** Counts a frame that belongs to no stream. */
+    void onLateFrame();
+
+    /** Counts bytes sent or received for control. */
+    void onControlFrame(int bytes);
+  }
+
+  private final PeerAddress address;
+  private final Hello hello;
+  private final Owner owner;
+  private final AtomicLong nextId = new AtomicLong();
+  private final Map<Long, ClientStream> streams = new ConcurrentHashMap<>();
+  private final Map<Long, CompletableFuture<Frame>> queries = new ConcurrentHashMap<>();
+  // Pieces of state replies that have arrived so far, by query.
+  private final Map<Long, ByteString> pieces = new ConcurrentHashMap<>();
+  private volatile Optional<Channel> channel = Optional.empty();
+  private volatile boolean lost;
+
+  PeerLink(PeerAddress address, Hello hello, Owner owner) {
+    this.address = address;
+    this.hello = hello;
+    this.owner = owner;
+  }
+
+  PeerAddress address() {
+    return address;
+  }
+
+  long connection() {
+    return hello.getConnection();
+  }
+
+  long incarnation() {
+    return hello.getIncarnation();
+  }
+
+  boolean usable() {
+    return !lost && channel.isPresent() && channel.get().isActive();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    channel = Optional.of(context.channel());
+    context.writeAndFlush(Frame.newBuilder().setHello(hello).build());
+  }
+
+  /** Opens a stream, or returns empty if the link cannot carry it, and then nothing was sent. */
+  Optional<ClientStream> open(CallRequest request, long configOffset, long nowNanos) {
+    if (!usable()) {
+      return Optional.empty();
+    }
+    ClientStream stream = new ClientStream(nextId.incrementAndGet(), this, request.idempotent());
+    streams.put(stream.id(), stream);
+    send(Frames.openCall(stream.id(), request, address.incarnation(), configOffset, nowNanos));
+    if (lost && streams.remove(stream.id()) != null) {
+      owner.settleLost(this, stream);
+    }
+    return Optional.of(stream);
+  }
+
+  /** Sends a frame if the link still stands. */
+  void send(Frame frame) {
+    channel.ifPresent(open -> open.writeAndFlush(frame, open.voidPromise()));
+  }
+
+  /** Sends a query and returns the future of its reply. */
+  CompletableFuture<Frame> query(java.util.function.LongFunction<Frame> create) {
+    long id = nextId.incrementAndGet();
+    CompletableFuture<Frame> reply = new CompletableFuture<>();
+    queries.put(id, reply);
+    reply.whenComplete((frame, error) -> queries.remove(id));
+    Frame frame = create.apply(id);
+    owner.onControlFrame(frame.getSerializedSize());
+    send(frame);
+    if (!usable()) {
+      reply.completeExceptionally(new java.io.IOException("the link is lost"));
+    }
+    return reply;
+  }
+
+  /** Returns whether the stream was known until now. */
+  boolean forget(ClientStream stream) {
+    return streams.remove(stream.id(), stream);
+  }
+
+  int streams() {
+    return streams.size();
+  }
+
+  void close() {
+    channel.ifPresent(Channel::close);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    switch (frame.getBodyCase()) {
+      case REFUSED -> {
+        owner.onLoad(address, Frames.toLoad(frame.getRefused().getLoad()));
+        stream(frame.getRefused().getStream()).ifPresent(s -> s.onRefused(frame.getRefused()));
+      }
+      case RESPONSE_HEAD -> {
+        owner.onLoad(address, Frames.toLoad(frame.getResponseHead().getLoad()));
+        stream(frame.getResponseHead().getStream())
+            .ifPresent(s -> s.onHead(frame.getResponseHead()));
+      }
+      case FAILED -> {
+        owner.onLoad(address, Frames.toLoad(frame.getFailed().getLoad()));
+        stream(frame.getFailed().getStream()).ifPresent(s -> s.onFailed(frame.getFailed()));
+      }
+      case DATA -> stream(frame.getData().getStream()).ifPresent(s -> s.onData(frame));
+      case CREDIT ->
+          Optional.ofNullable(streams.get(frame.getCredit().getStream()))
+              .ifPresent(s -> s.onCredit(frame.getCredit().getBytes()));
+      case SETTLED -> reply(frame.getSettled().getQuery(), frame);
+      case PROBE_REPLY -> {
+        owner.onLoad(address, Frames.toLoad(frame.getProbeReply().getLoad()));
+        reply(frame.getProbeReply().getQuery(), frame);
+      }
+      case STATE_REPLY -> onPiece(frame.getStateReply());
+      case LEASE_GRANT -> reply(frame.getLeaseGrant().getQuery(), frame);
+      case STATUS_REPLY -> reply(frame.getStatusReply().getQuery(), frame);
+      default -> owner.onLateFrame();
+    }
+  }
+
+  // Completes the query with one reply that holds all pieces.
+  private void onPiece(StateReply reply) {
+    long query = reply.getQuery();
+    ByteString all = pieces.getOrDefault(query, ByteString.EMPTY).concat(reply.getPiece());
+    if (!reply.getLast()) {
+      pieces.put(query, all);
+      return;
+    }
+    pieces.remove(query);
+    StateReply whole = StateReply.newBuilder().setQuery(query).setPiece(all).build();
+    reply(query, Frame.newBuilder().setStateReply(whole).build());
+  }
+
+  private Optional<ClientStream> stream(long id) {
+    ClientStream stream = streams.get(id);
+    if (stream == null) {
+      owner.onLateFrame();
+    }
+    return Optional.ofNullable(stream);
+  }
+
+  private void reply(long query, Frame frame) {
+    owner.onControlFrame(frame.getSerializedSize());
+    CompletableFuture<Frame> waiting = queries.get(query);
+    if (waiting == null) {
+      owner.onLateFrame();
+    } else {
+      waiting.complete(frame);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    lost = true;
+    queries
+        .values()
+        .forEach(q -> q.completeExceptionally(new java.io.IOException("the link was lost")));
+    List<ClientStream> open = new ArrayList<>(streams.values());
+    for (ClientStream stream : open) {
+      if (forget(stream)) {
+        end(stream);
+      }
+    }
+  }
+
+  private void end(ClientStream stream) {
+    if (stream.idempotent() || stream.answered()) {
+      stream.onLost(linkLost());
+    } else {
+      owner.settleLost(this, stream);
+    }
+  }
+
+  static Outcome<CallResponse> linkLost() {
+    return new Outcome.Unknown<>(
+        ResultCode.LINK_LOST, "the link to the target side was lost after the request was sent");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -0,0 +1,264 @@
+package org.amaranthmoor.daemon.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.Hello;
+import org.amaranthmoor.protocol.node.Settle;
+import org.amaranthmoor.protocol.node.Settled;
+
+/**
+ * Keeps one link to each node that calls or queries go to.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class PeerLinks implements AutoCloseable {
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 500;
+  private static final long SETTLE_TIMEOUT_MILLIS = 500;
+
+  /** Takes in load reports. */
+  public interface LoadListener {
+    /**
+     * A load report arrived.
+     *
+     * @param address the node it is about
+     * @param load the report
+     */
+    void onLoad(PeerAddress address, LoadReport load);
+  }
+
+  private final NodeIdentity identity;
+  private final EventLoopGroup group;
+  private final ExecutorService executor;
+  private final LoadListener loadListener;
+  private final NodeMetrics metrics;
+  private final TimeSource time;
+  private final Map<PeerAddress, PeerLink> links = new ConcurrentHashMap<>();
+  private final Map<PeerAddress, Object> locks = new ConcurrentHashMap<>();
+  private final AtomicLong nextConnection = new AtomicLong();
+  private final PeerLink.Owner owner = new LinkOwner();
+
+  /**
+   * Creates links that connect on first use.
+   *
+   * @param identity this node
+   * @param group event loops of the channels
+   * @param executor runs settlements
+   * @param loadListener takes in load reports
+   * @param metrics counts what links see
+   * @param time the time
+   */
+  public PeerLinks(
+      NodeIdentity identity,
+      EventLoopGroup group,
+      ExecutorService executor,
+      LoadListener loadListener,
+      NodeMetrics metrics,
+      TimeSource time) {
+    this.identity = identity;
+    this.group = group;
+    this.executor = executor;
+    this.loadListener = loadListener;
+    this.metrics = metrics;
+    this.time = time;
+  }
+
+  /**
+   * Sends a request to a node's target side.
+   *
+   * @param address the node
+   * @param request the request
+   * @param configOffset offset of the configuration it was routed by
+   * @return the exchange, or empty if no connection could be opened, and then nothing was sent
+   */
+  public Optional<Exchange> open(PeerAddress address, CallRequest request, long configOffset) {
+    return link(address)
+        .flatMap(link -> link.open(request, configOffset, time.nanos()))
+        .map(Exchange.class::cast);
+  }
+
+  /**
+   * Sends a query to a node and waits for the reply.
+   *
+   * @param address the node
+   * @param create creates the query for a given id
+   * @param timeoutMillis longest time to wait, in milliseconds
+   * @return the reply, or empty if there was none in time
+   */
+  public Optional<Frame> query(
+      PeerAddress address, java.util.function.LongFunction<Frame> create, long timeoutMillis) {
+    Optional<PeerLink> link = link(address);
+    if (link.isEmpty()) {
+      return Optional.empty();
+    }
+    return await(link.get().query(create), timeoutMillis);
+  }
+
+  /**
+   * Sends a query without waiting; the reply's load report is taken in when it comes.
+   *
+   * @param address the node
+   * @param create creates the query for a given id
+   */
+  public void ask(PeerAddress address, java.util.function.LongFunction<Frame> create) {
+    PeerLink link = links.get(address);
+    if (link != null && link.usable()) {
+      var unused =
+          link.query(create)
+              .orTimeout(SETTLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+              .exceptionally(error -> Frame.getDefaultInstance());
+    }
+  }
+
+  private static Optional<Frame> await(
+      java.util.concurrent.CompletableFuture<Frame> reply, long timeoutMillis) {
+    try {
+      return Optional.of(reply.get(timeoutMillis, TimeUnit.MILLISECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Optional.empty();
+    } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+      reply.cancel(false);
+      return Optional.empty();
+    }
+  }
+
+  private Optional<PeerLink> link(PeerAddress address) {
+    PeerLink link = links.get(address);
+    if (link != null && link.usable()) {
+      return Optional.of(link);
+    }
+    return connect(address);
+  }
+
+  private Optional<PeerLink> connect(PeerAddress address) {
+    // One thread connects; the others wait for the same link.
+    synchronized (lockOf(address)) {
+      PeerLink current = links.get(address);
+      if (current != null && current.usable()) {
+        return Optional.of(current);
+      }
+      Optional<PeerLink> fresh = connectNow(address);
+      fresh.ifPresent(link -> links.put(address, link));
+      return fresh;
+    }
+  }
+
+  private Object lockOf(PeerAddress address) {
+    return locks.computeIfAbsent(address, key -> new Object());
+  }
+
+  private Optional<PeerLink> connectNow(PeerAddress address) {
+    Hello hello =
+        Hello.newBuilder()
+            .setNode(identity.node().value())
+            .setIncarnation(identity.incarnation().value())
+            .setConnection(nextConnection.incrementAndGet())
+            .build();
+    PeerLink link = new PeerLink(address, hello, owner);
+    ChannelFuture connected =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(new FrameChannels(() -> link))
+            .connect(address.host(), address.port());
+    try {
+      connected.await(2L * CONNECT_TIMEOUT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    if (!connected.isSuccess()) {
+      var unused = connected.channel().close();
+      return Optional.empty();
+    }
+    return Optional.of(link);
+  }
+
+  /**
+   * Closes links to nodes that are gone.
+   *
+   * @param gone decides for each address
+   */
+  public void closeIf(java.util.function.Predicate<PeerAddress> gone) {
+    for (Map.Entry<PeerAddress, PeerLink> entry : List.copyOf(links.entrySet())) {
+      if (gone.test(entry.getKey())) {
+        links.remove(entry.getKey(), entry.getValue());
+        locks.remove(entry.getKey());
+        entry.getValue().close();
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    closeIf(address -> true);
+  }
+
+  private final class LinkOwner implements PeerLink.Owner {
+
+    @Override
+    public void onLoad(PeerAddress address, LoadReport load) {
+      loadListener.onLoad(address, load);
+    }
+
+    @Override
+    public void onLateFrame() {
+      metrics.lateFrame();
+    }
+
+    @Override
+    public void onControlFrame(int bytes) {
+      metrics.controlBytes(bytes);
+    }
+
+    @Override
+    public void settleLost(PeerLink link, ClientStream stream) {
+      executor.execute(() -> stream.onLost(settle(link, stream)));
+    }
+
+    private Outcome<CallResponse> settle(PeerLink lost, ClientStream stream) {
+      PeerAddress address = lost.address();
+      Optional<Frame> reply =
+          query(address, id -> settleFrame(id, lost, stream.id()), SETTLE_TIMEOUT_MILLIS);
+      boolean fenced =
+          reply.isPresent() && reply.get().getSettled().getVerdict() == Settled.Verdict.FENCED;
+      return fenced
+          ? new Outcome.NotRun<>(ResultCode.FENCED, 0, "fenced after the link was lost")
+          : PeerLink.linkLost();
+    }
+
+    private Frame settleFrame(long query, PeerLink lost, long stream) {
+      Settle settle =
+          Settle.newBuilder()
+              .setQuery(query)
+              .setEntryIncarnation(lost.incarnation())
+              .setConnection(lost.connection())
+              .setStream(stream)
+              .setTargetIncarnation(lost.address().incarnation().value())
+              .build();
+      return Frame.newBuilder().setSettle(settle).build();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -0,0 +1,215 @@
+package org.amaranthmoor.daemon.node;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.Names;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.Hello;
+import org.amaranthmoor.protocol.node.OpenCall;
+import org.amaranthmoor.protocol.node.ProbeReply;
+import org.amaranthmoor.protocol.node.Settle;
+import org.amaranthmoor.protocol.node.Settled;
+import org.amaranthmoor.target.ExchangeLedger;
+import org.amaranthmoor.target.ExchangeLedger.ConnectionId;
+import org.amaranthmoor.target.HandOver;
+
+/**
+ * Takes calls and queries from other nodes.
+ *
+ * <p>Frames are read on event loops; each call runs on a virtual thread. Safe for use by several
+ * threads.
+ */
+public final class PeerServer implements AutoCloseable {
+
+  private final TargetSide targetSide;
+  private final ExchangeLedger ledger;
+  private final PeerQueries queries;
+  private final NodeIdentity identity;
+  private final ExecutorService executor;
+  private final NodeMetrics metrics;
+  private final TimeSource time;
+  private final Channel serverChannel;
+
+  /**
+   * Opens the port.
+   *
+   * @param host the IP address to listen at
+   * @param port the port to listen at
+   * @param group event loops of the channels
+   * @param targetSide runs calls
+   * @param ledger remembers hand-overs
+   * @param queries answers queries
+   * @param identity this node
+   * @param executor runs calls
+   * @param metrics counts what arrives
+   * @param time the time
+   */
+  public PeerServer(
+      String host,
+      int port,
+      EventLoopGroup group,
+      TargetSide targetSide,
+      ExchangeLedger ledger,
+      PeerQueries queries,
+      NodeIdentity identity,
+      ExecutorService executor,
+      NodeMetrics metrics,
+      TimeSource time) {
+    this.targetSide = targetSide;
+    this.ledger = ledger;
+    this.queries = queries;
+    this.identity = identity;
+    this.executor = executor;
+    this.metrics = metrics;
+    this.time = time;
+    this.serverChannel =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new FrameChannels(Connection::new))
+            .bind(host, port)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  @Override
+  public void close() {
+    serverChannel.close().syncUninterruptibly();
+  }
+
+  private final class Connection extends SimpleChannelInboundHandler<Frame> {
+
+    private final Map<Long, InboundStream> streams = new ConcurrentHashMap<>();
+    private Optional<ConnectionId> id = Optional.empty();
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+      switch (frame.getBodyCase()) {
+        case HELLO -> hello(frame.getHello());
+        case OPEN_CALL -> open(context.channel(), frame.getOpenCall());
+        case DATA -> stream(frame.getData().getStream()).ifPresent(s -> s.onData(frame.getData()));
+        case CREDIT ->
+            stream(frame.getCredit().getStream())
+                .ifPresent(s -> s.onCredit(frame.getCredit().getBytes()));
+        case CANCEL ->
+            stream(frame.getCancel().getStream()).ifPresent(s -> executor.execute(s::cancel));
+        case SETTLE -> context.writeAndFlush(settle(frame.getSettle()));
+        case PROBE -> {
+          metrics.controlBytes(frame.getSerializedSize());
+          context.writeAndFlush(probeReply(frame.getProbe().getQuery()));
+        }
+        case LEASE_REQUEST -> context.writeAndFlush(queries.answerLease(frame.getLeaseRequest()));
+        case STATE_REQUEST ->
+            queries.answerState(frame.getStateRequest()).forEach(context::writeAndFlush);
+        case STATUS_REQUEST ->
+            context.writeAndFlush(queries.answerStatus(frame.getStatusRequest().getQuery()));
+        default -> metrics.lateFrame();
+      }
+    }
+
+    private void hello(Hello hello) {
+      ConnectionId connection =
+          new ConnectionId(hello.getNode(), hello.getIncarnation(), hello.getConnection());
+      id = Optional.of(connection);
+      ledger.onConnected(connection);
+    }
+
+    private void open(Channel channel, OpenCall open) {
+      if (id.isEmpty() || !Names.isName(open.getService())) {
+        channel.close();
+        return;
+      }
+      CallRequest request = Frames.toRequest(open, time.nanos());
+      Optional<ResultCode> refusal = refusal(open);
+      HandOver handOver = ledger.register(id.get(), open.getStream());
+      if (refusal.isEmpty() && handOver.state() == HandOver.State.FENCED) {
+        refusal = Optional.of(ResultCode.FENCED);
+      }
+      if (refusal.isPresent()) {
+        handOver.fence();
+        Outcome.NotRun<?> notRun = new Outcome.NotRun<>(refusal.get(), 0, "not admitted");
+        channel.writeAndFlush(Frames.refused(open.getStream(), notRun, targetSide.load()));
+        return;
+      }
+      InboundStream stream =
+          new InboundStream(open.getStream(), channel, targetSide, request, handOver);
+      streams.put(open.getStream(), stream);
+      executor.execute(() -> run(open.getStream(), stream));
+    }
+
+    private Optional<ResultCode> refusal(OpenCall open) {
+      return open.getTargetIncarnation() == identity.incarnation().value()
+          ? Optional.empty()
+          : Optional.of(ResultCode.WRONG_INCARNATION);
+    }
+
+    private void run(long streamId, InboundStream stream) {
+      try {
+        stream.run();
+      } finally {
+        streams.remove(streamId);
+      }
+    }
+
+    private Optional<InboundStream> stream(long streamId) {
+      return Optional.ofNullable(streams.get(streamId));
+    }
+
+    private Frame settle(Settle settle) {
+      Settled.Verdict verdict = Settled.Verdict.UNKNOWN;
+      if (settle.getTargetIncarnation() == identity.incarnation().value() && id.isPresent()) {
+        ConnectionId lost =
+            new ConnectionId(
+                id.get().entry(), settle.getEntryIncarnation(), settle.getConnection());
+        verdict =
+            switch (ledger.settle(lost, settle.getStream())) {
+              case UNKNOWN -> Settled.Verdict.UNKNOWN;
+              case HANDED_OVER -> Settled.Verdict.HANDED_OVER;
+              case FENCED -> Settled.Verdict.FENCED;
+            };
+      }
+      return Frame.newBuilder()
+          .setSettled(Settled.newBuilder().setQuery(settle.getQuery()).setVerdict(verdict))
+          .build();
+    }
+
+    private Frame probeReply(long query) {
+      ProbeReply reply =
+          ProbeReply.newBuilder()
+              .setQuery(query)
+              .setLoad(Frames.toMessage(targetSide.load()))
+              .build();
+      Frame frame = Frame.newBuilder().setProbeReply(reply).build();
+      metrics.controlBytes(frame.getSerializedSize());
+      return frame;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      id.ifPresent(connection -> ledger.onDisconnected(connection, time.nanos()));
+      streams.values().forEach(stream -> executor.execute(stream::cancel));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/LogFollower.java
@@ -0,0 +1,120 @@
+package org.amaranthmoor.daemon.platform;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.StateHolder;
+import org.amaranthmoor.platform.StateReader;
+
+/**
+ * Follows the log on a thread of its own and keeps the newest state.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class LogFollower implements AutoCloseable {
+
+  private static final long WAIT_MILLIS = 1_000;
+  private static final long PAUSE_AFTER_FAILURE_MILLIS = 500;
+
+  /** Is told when the log has been read to its end. */
+  public interface EndListener {
+    /**
+     * The log was read to its end and the result taken in.
+     *
+     * @param startedNanos when the reading started
+     */
+    void onEnd(long startedNanos);
+  }
+
+  private final StateReader reader;
+  private final StateHolder holder;
+  private final EndListener endListener;
+  private final TimeSource time;
+  private final EventLog log;
+  private final AtomicBoolean available = new AtomicBoolean();
+  private final Thread thread;
+  private volatile boolean closed;
+
+  /**
+   * Creates a follower; {@link #start} starts it.
+   *
+   * @param reader reads the log
+   * @param holder takes the states
+   * @param endListener is told when the log was read to its end
+   * @param time the time
+   * @param log events
+   */
+  public LogFollower(
+      StateReader reader,
+      StateHolder holder,
+      EndListener endListener,
+      TimeSource time,
+      EventLog log) {
+    this.reader = reader;
+    this.holder = holder;
+    this.endListener = endListener;
+    this.time = time;
+    this.log = log;
+    this.thread = Thread.ofPlatform().name("log-follower").daemon().unstarted(this::run);
+  }
+
+  /** Starts to follow. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Returns whether the log answered last time. */
+  public boolean available() {
+    return available.get();
+  }
+
+  private void run() {
+    boolean caughtUp = false;
+    while (!closed) {
+      try {
+        caughtUp = step(caughtUp);
+      } catch (InterruptedException e) {
+        return;
+      } catch (RuntimeException e) {
+        log.warn("log-follower-failed", () -> "error=" + EventLog.quote(e.toString()));
+      }
+    }
+  }
+
+  private boolean step(boolean caughtUp) throws InterruptedException {
+    ClusterState before = holder.current();
+    // A read that waits proves only that nothing was appended before it started to wait.
+    long startedNanos = time.nanos();
+    switch (reader.step(before, caughtUp ? WAIT_MILLIS : 0)) {
+      case StateReader.Step.Progress progress -> {
+        setAvailable(true, "");
+        boolean changed = progress.state().offset() > before.offset();
+        if (changed && holder.advance(progress.state(), progress.contiguous())) {
+          log.info("state-advanced", () -> "offset=" + progress.state().offset());
+        }
+        if (progress.atEnd()) {
+          endListener.onEnd(startedNanos);
+        }
+        return progress.atEnd();
+      }
+      case StateReader.Step.Stuck stuck -> {
+        setAvailable(false, stuck.detail());
+        Thread.sleep(PAUSE_AFTER_FAILURE_MILLIS);
+        return false;
+      }
+    }
+  }
+
+  private void setAvailable(boolean now, String detail) {
+    if (available.getAndSet(now) != now) {
+      log.warn(now ? "log-available" : "log-unavailable", () -> "detail=" + EventLog.quote(detail));
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    thread.interrupt();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/settings/Endpoint.java
@@ -0,0 +1,48 @@
+package org.amaranthmoor.daemon.settings;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * An IP address with a port.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param host the IP address as text
+ * @param port the port
+ */
+public record Endpoint(String host, int port) {
+
+  private static final Pattern FORM =
+      Pattern.compile("((?:\\d{1,3}\\.){3}\\d{1,3}|\\[[0-9a-fA-F:]+\\]):(\\d{1,5})");
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Reads an endpoint.
+   *
+   * @param text an IP address, a colon and a port
+   * @return the endpoint, or empty if the text is not one
+   */
+  public static Optional<Endpoint> parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    int port = Integer.parseInt(matcher.group(2));
+    return port >= 1 && port <= MAX_PORT
+        ? Optional.of(new Endpoint(matcher.group(1), port))
+        : Optional.empty();
+  }
+
+  /** Returns the address for sockets. */
+  public InetSocketAddress socketAddress() {
+    return new InetSocketAddress(host, port);
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/CallMix.java
@@ -0,0 +1,29 @@
+package org.amaranthmoor.testkit.caller;
+
+import java.util.List;
+
+/**
+ * Kinds of calls that a load generator makes.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param name the kind's name in reports
+ * @param method the HTTP method
+ * @param path the path
+ * @param bodyBytes bytes of the request's body
+ * @param keyed whether each call carries an idempotency key
+ * @param weight how often it is made, compared to the others
+ */
+public record CallMix(
+    String name, String method, String path, int bodyBytes, boolean keyed, int weight) {
+
+  /** Returns the calls that the Collective's members and volunteers make. */
+  public static List<CallMix> collective() {
+    return List.of(
+        new CallMix("catalogue", "GET", "/lending/catalogue/pages/7", 0, false, 12),
+        new CallMix("large-page", "GET", "/lending/catalogue/large/200000", 0, false, 1),
+        new CallMix("reservation", "POST", "/lending/reservations", 200, true, 4),
+        new CallMix("upload", "PUT", "/production/uploads/42", 300_000, false, 2),
+        new CallMix("waiver", "POST", "/production/waivers", 100, true, 2));
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/InMemoryLog.java
@@ -0,0 +1,146 @@
+package org.amaranthmoor.testkit.platform;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.model.TokenBucket;
+import org.amaranthmoor.platform.PlatformLog;
+
+/**
+ * An append-only log in memory, with the faults of the platform's.
+ *
+ * <p>Streams have offsets that start at 0; records lapse after the retention time; appends are
+ * capped per second; the log can be down or slow, and can lose the answer to an append that took
+ * effect. Safe for use by several threads.
+ */
+public final class InMemoryLog implements PlatformLog {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final TimeSource time;
+  private final long retentionMillis;
+  private final TokenBucket appends;
+  private final Map<String, Stream> streams = new HashMap<>();
+  private boolean down;
+  private int answersToLose;
+  private long appended;
+
+  @SuppressWarnings("ArrayRecordComponent")
+  private record Stored(long offset, byte[] bytes, long atMillis) {}
+
+  private static final class Stream {
+    private final Deque<Stored> records = new ArrayDeque<>();
+    private long end;
+
+    private long start() {
+      return records.isEmpty() ? end : records.getFirst().offset();
+    }
+  }
+
+  /**
+   * Creates an empty log.
+   *
+   * @param time the time
+   * @param retentionMillis how long records are kept, in milliseconds
+   * @param appendsPerSecond most appends per second
+   */
+  public InMemoryLog(TimeSource time, long retentionMillis, int appendsPerSecond) {
+    this.time = time;
+    this.retentionMillis = retentionMillis;
+    this.appends = new TokenBucket(appendsPerSecond, appendsPerSecond, time.nanos());
+  }
+
+  /**
+   * Starts or ends an outage.
+   *
+   * @param isDown whether the log answers nothing
+   */
+  public synchronized void setDown(boolean isDown) {
+    down = isDown;
+    notifyAll();
+  }
+
+  /**
+   * Loses the answers to the next appends, which take effect.
+   *
+   * @param count how many
+   */
+  public synchronized void loseAnswers(int count) {
+    answersToLose = count;
+  }
+
+  /** Returns how many records were appended. */
+  public synchronized long appended() {
+    return appended;
+  }
+
+  @Override
+  public synchronized AppendResult append(String stream, byte[] bytes) {
+    if (down) {
+      return new AppendResult.Rejected("the log is down");
+    }
+    if (!appends.tryTake(time.nanos())) {
+      return new AppendResult.Rejected("too many appends per second");
+    }
+    Stream target = streams.computeIfAbsent(stream, name -> new Stream());
+    long offset = target.end++;
+    target.records.addLast(new Stored(offset, bytes.clone(), time.wallMillis()));
+    appended++;
+    notifyAll();
+    if (answersToLose > 0) {
+      answersToLose--;
+      return new AppendResult.Unknown("the answer was lost");
+    }
+    return new AppendResult.Appended(offset);
+  }
+
+  @Override
+  public synchronized ReadResult read(String stream, long from, int most, long waitMillis) {
+    awaitRecord(stream, from, waitMillis);
+    if (down) {
+      return new ReadResult.Unavailable("the log is down");
+    }
+    Stream source = streams.computeIfAbsent(stream, name -> new Stream());
+    dropLapsed(source);
+    if (from < source.start() && most > 0) {
+      return new ReadResult.Lapsed(source.start(), source.end);
+    }
+    List<Entry> entries = new ArrayList<>();
+    for (Stored stored : source.records) {
+      if (stored.offset() >= from && entries.size() < most) {
+        entries.add(new Entry(stored.offset(), stored.bytes()));
+      }
+    }
+    return new ReadResult.Records(entries, source.start(), source.end);
+  }
+
+  private void awaitRecord(String stream, long from, long waitMillis) {
+    long deadline = time.nanos() + waitMillis * NANOS_PER_MILLI;
+    long left = waitMillis;
+    while (left > 0 && !down && end(stream) <= from) {
+      try {
+        wait(left);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+      left = (deadline - time.nanos()) / NANOS_PER_MILLI;
+    }
+  }
+
+  private long end(String stream) {
+    Stream known = streams.get(stream);
+    return known == null ? 0 : known.end;
+  }
+
+  private void dropLapsed(Stream stream) {
+    long oldest = time.wallMillis() - retentionMillis;
+    while (!stream.records.isEmpty() && stream.records.getFirst().atMillis() < oldest) {
+      stream.records.removeFirst();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/LogServer.java
@@ -0,0 +1,174 @@
+package org.amaranthmoor.testkit.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.platform.PlatformLog;
+import org.amaranthmoor.platform.PlatformLog.AppendResult;
+import org.amaranthmoor.platform.PlatformLog.Entry;
+import org.amaranthmoor.platform.PlatformLog.ReadResult;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.io.HttpServerRequestHandler;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/**
+ * Serves a log in memory over HTTP.
+ *
+ * <p>{@code POST /faults?down=true&lose-answers=1&slow-millis=50} injects faults. Safe for use by
+ * several threads.
+ */
+public final class LogServer implements HttpServerRequestHandler, AutoCloseable {
+
+  private static final Pattern RECORDS = Pattern.compile("/streams/([A-Za-z0-9._-]+)/records");
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int GONE = 410;
+  private static final int TOO_MANY = 429;
+  private static final int FAILED = 500;
+  private static final int UNAVAILABLE = 503;
+
+  private final InMemoryLog log;
+  private final HttpListener listener;
+  private volatile long slowMillis;
+
+  /**
+   * Opens the port.
+   *
+   * @param address the address to listen at
+   * @param log the log
+   * @throws IOException if the port cannot be opened
+   */
+  public LogServer(InetSocketAddress address, InMemoryLog log) throws IOException {
+    this.log = log;
+    this.listener = new HttpListener(address, this);
+  }
+
+  /** Returns the port that is open. */
+  public int port() {
+    return listener.port();
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+
+  @Override
+  public void handle(ClassicHttpRequest request, ResponseTrigger trigger, HttpContext context)
+      throws HttpException, IOException {
+    URI uri = URI.create(request.getRequestUri());
+    Map<String, String> query = parseQuery(uri.getRawQuery());
+    Matcher records = RECORDS.matcher(uri.getPath());
+    pause();
+    if (records.matches() && request.getMethod().equals("POST")) {
+      trigger.submitResponse(append(records.group(1), request));
+    } else if (records.matches()) {
+      trigger.submitResponse(read(records.group(1), query));
+    } else if (uri.getPath().equals("/faults")) {
+      trigger.submitResponse(setFaults(query));
+    } else {
+      trigger.submitResponse(text(NOT_FOUND, "not found"));
+    }
+  }
+
+  private void pause() {
+    try {
+      Thread.sleep(slowMillis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private ClassicHttpResponse append(String stream, ClassicHttpRequest request) throws IOException {
+    byte[] bytes = EntityUtils.toByteArray(request.getEntity());
+    return switch (log.append(stream, bytes)) {
+      case AppendResult.Appended appended -> text(OK, Long.toString(appended.offset()));
+      case AppendResult.Rejected rejected -> text(TOO_MANY, rejected.detail());
+      case AppendResult.Unknown unknown -> text(FAILED, unknown.detail());
+    };
+  }
+
+  private ClassicHttpResponse read(String stream, Map<String, String> query) throws IOException {
+    long from = number(query, "from");
+    int most = (int) number(query, "max");
+    return switch (log.read(stream, from, most, number(query, "wait"))) {
+      case ReadResult.Records records -> {
+        ClassicHttpResponse response = bounds(OK, records.start(), records.end());
+        response.setEntity(
+            new ByteArrayEntity(encode(records.entries()), ContentType.APPLICATION_OCTET_STREAM));
+        yield response;
+      }
+      case ReadResult.Lapsed lapsed -> bounds(GONE, lapsed.start(), lapsed.end());
+      case ReadResult.Unavailable unavailable -> text(UNAVAILABLE, unavailable.detail());
+    };
+  }
+
+  private static byte[] encode(List<PlatformLog.Entry> entries) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    DataOutputStream out = new DataOutputStream(bytes);
+    for (Entry entry : entries) {
+      out.writeLong(entry.offset());
+      out.writeInt(entry.bytes().length);
+      out.write(entry.bytes());
+    }
+    return bytes.toByteArray();
+  }
+
+  private static ClassicHttpResponse bounds(int status, long start, long end) {
+    ClassicHttpResponse response = new BasicClassicHttpResponse(status);
+    response.setHeader("Log-Start", Long.toString(start));
+    response.setHeader("Log-End", Long.toString(end));
+    return response;
+  }
+
+  private ClassicHttpResponse setFaults(Map<String, String> query) {
+    if (query.containsKey("down")) {
+      log.setDown(query.get("down").equals("true"));
+    }
+    if (query.containsKey("lose-answers")) {
+      log.loseAnswers((int) number(query, "lose-answers"));
+    }
+    if (query.containsKey("slow-millis")) {
+      slowMillis = number(query, "slow-millis");
+    }
+    return text(OK, "ok");
+  }
+
+  private static ClassicHttpResponse text(int status, String text) {
+    ClassicHttpResponse response = new BasicClassicHttpResponse(status);
+    response.setEntity(new StringEntity(text + "\n", ContentType.TEXT_PLAIN));
+    return response;
+  }
+
+  private static long number(Map<String, String> query, String name) {
+    return Long.parseLong(query.getOrDefault(name, "0"));
+  }
+
+  private static Map<String, String> parseQuery(String query) {
+    Map<String, String> values = new HashMap<>();
+    if (query != null) {
+      for (String pair : query.split("&", -1)) {
+        int equals = pair.indexOf('=');
+        if (equals > 0) {
+          values.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+      }
+    }
+    return values;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the platform's append-only log. */
+package org.amaranthmoor.testkit.platform;
