--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/LogFold.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/LogFold.java
@@ -10,6 +10,7 @@
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.NoteId;
 import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TargetName;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.operator.NoteParser;
@@ -184,11 +185,29 @@
     return removeAnnounced(before, offset, left.getNode(), left.getIncarnation(), recordIds);
   }
 
+  // Only a member of the same service evicts, so that each set of members that an old lease rests
+  // on
+  // holds a member that knows of the eviction.
   private static ClusterState applyEvicted(
       ClusterState before, long offset, Evicted evicted, List<String> recordIds) {
+    if (!serveTogether(before, evicted.getNode(), evicted.getBy())) {
+      return new StateDraft(before).finish(offset, before.verdicts(), recordIds);
+    }
     return removeAnnounced(before, offset, evicted.getNode(), evicted.getIncarnation(), recordIds);
   }
 
+  private static boolean serveTogether(ClusterState state, String node, String other) {
+    Optional<ServiceName> service = serviceOf(state, node);
+    return !node.equals(other) && service.isPresent() && service.equals(serviceOf(state, other));
+  }
+
+  private static Optional<ServiceName> serviceOf(ClusterState state, String node) {
+    return Optional.of(node)
+        .filter(Names::isName)
+        .map(name -> state.announced().get(new NodeName(name)))
+        .flatMap(announced -> state.serviceOf(announced.target()));
+  }
+
   private static ClusterState removeAnnounced(
       ClusterState before, long offset, String node, long incarnation, List<String> recordIds) {
     StateDraft draft = new StateDraft(before);
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/platform/CheckpointCodecTests.java
@@ -0,0 +1,53 @@
+package org.amaranthmoor.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Optional;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.testing.Notes;
+import org.junit.jupiter.api.Test;
+
+class CheckpointCodecTests {
+
+  private static final NodeName WRITER = new NodeName("n1");
+
+  private static ClusterState state() {
+    ClusterState state =
+        Notes.fold(
+            Notes.record("first", Notes.open("first", "lending", 3)),
+            Notes.joined("n1", 1, "lending-1"));
+    return Notes.then(state, Notes.record("bad", Notes.note("bad", "services: 1")));
+  }
+
+  @Test
+  void readsWhatItWrote() {
+    assertEquals(
+        Optional.of(state()), CheckpointCodec.read(CheckpointCodec.write(state(), WRITER, 4)));
+  }
+
+  @Test
+  void equalStatesGiveEqualBytes() {
+    assertArrayEquals(
+        CheckpointCodec.write(state(), WRITER, 4), CheckpointCodec.write(state(), WRITER, 4));
+  }
+
+  @Test
+  void refusesEveryDamagedByteOrReadsTheSameState() {
+    byte[] sound = CheckpointCodec.write(state(), WRITER, 4);
+    for (int i = 0; i < sound.length; i++) {
+      byte[] damaged = sound.clone();
+      damaged[i] ^= 0x20;
+      Optional<ClusterState> read = CheckpointCodec.read(damaged);
+      if (read.isPresent()) {
+        assertEquals(state(), read.get(), "byte " + i);
+      }
+    }
+  }
+
+  @Test
+  void tellsThePeriod() {
+    assertEquals(
+        Optional.of(4L), CheckpointCodec.period(CheckpointCodec.write(state(), WRITER, 4)));
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/platform/LogFoldTests.java
@@ -0,0 +1,258 @@
+package org.amaranthmoor.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.amaranthmoor.config.Reason;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.NoteId;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.protocol.platform.LogRecord;
+import org.amaranthmoor.testing.Notes;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class LogFoldTests {
+
+  private static final ClusterState OPEN =
+      Notes.fold(Notes.record("first", Notes.open("first", "lending", 6)));
+
+  private static List<Reason> refused(ClusterState state, String note) {
+    return assertInstanceOf(Verdict.Refused.class, state.verdict(new NoteId(note)).orElseThrow())
+        .reasons();
+  }
+
+  private static ClusterState publish(ClusterState state, String id, String... lines) {
+    return Notes.then(state, Notes.record(id, Notes.note(id, lines)));
+  }
+
+  @Test
+  void acceptsANoteAndTakesItsItems() {
+    assertInstanceOf(Verdict.Accepted.class, OPEN.verdict(new NoteId("first")).orElseThrow());
+    assertEquals(6, OPEN.admittedTargets(new ServiceName("lending")));
+  }
+
+  @Test
+  void aRefusedNoteChangesNothingButTheOffsetAndTheVerdicts() {
+    ClusterState after = publish(OPEN, "second", "services:", "  - add: lending");
+
+    assertEquals(OPEN.services(), after.services());
+    assertEquals(OPEN.rules(), after.rules());
+    assertEquals(OPEN.targets(), after.targets());
+    assertEquals(Reason.Code.EXISTS, refused(after, "second").getFirst().code());
+  }
+
+  @Nested
+  class WhenTwoOperatorsChangeOneItem {
+
+    private final ClusterState after =
+        publish(
+            publish(OPEN, "a", "services:", "  - change: lending", "    builds-on: first"),
+            "b",
+            "services:",
+            "  - change: lending",
+            "    builds-on: first");
+
+    @Test
+    void theFirstInTheLogStands() {
+      assertEquals(new NoteId("a"), after.services().get(new ServiceName("lending")).revision());
+    }
+
+    @Test
+    void theSecondIsRefusedAndNamesTheItemAndTheFirst() {
+      Reason reason = refused(after, "b").getFirst();
+
+      assertEquals(Reason.Code.CONFLICT, reason.code());
+      assertEquals("service lending", reason.item());
+      assertEquals("builds on note first, but note a changed it first", reason.message());
+    }
+  }
+
+  @Nested
+  class GuardRails {
+
+    private Reason.Code codeOf(String... lines) {
+      return refused(publish(OPEN, "harm", lines), "harm").getFirst().code();
+    }
+
+    @Test
+    void refuseARuleWithoutItsService() {
+      assertEquals(
+          Reason.Code.DANGLING,
+          codeOf("rules:", "  - add: r", "    service: nowhere", "    path-prefix: /r"));
+    }
+
+    @Test
+    void refuseToWithdrawAServiceInUse() {
+      assertEquals(
+          Reason.Code.DANGLING,
+          codeOf("services:", "  - withdraw: lending", "    builds-on: first"));
+    }
+
+    @Test
+    void refuseAServiceInUseWithoutTargets() {
+      assertEquals(
+          Reason.Code.STRANDED,
+          codeOf(
+              "services:",
+              "  - add: empty",
+              "rules:",
+              "  - add: empty",
+              "    service: empty",
+              "    path-prefix: /empty"));
+    }
+
+    @Test
+    void refuseToWithdrawManyTargetsAtOnce() {
+      assertEquals(
+          Reason.Code.WITHDRAWS_TOO_MANY,
+          codeOf(
+              "targets:",
+              "  - withdraw: lending-1",
+              "    builds-on: first",
+              "  - withdraw: lending-2",
+              "    builds-on: first",
+              "  - withdraw: lending-3",
+              "    builds-on: first"));
+    }
+
+    @Test
+    void letAnOverriddenNotePass() {
+      ClusterState after =
+          publish(
+              OPEN,
+              "harm",
+              "targets:",
+              "  - withdraw: lending-1",
+              "    builds-on: first",
+              "    override: [withdraws-too-many]",
+              "  - withdraw: lending-2",
+              "    builds-on: first",
+              "  - withdraw: lending-3",
+              "    builds-on: first");
+
+      assertEquals(3, after.admittedTargets(new ServiceName("lending")));
+    }
+
+    @Test
+    void refuseTwoRulesForOnePath() {
+      assertEquals(
+          Reason.Code.AMBIGUOUS,
+          codeOf("rules:", "  - add: r", "    service: lending", "    path-prefix: /lending"));
+    }
+
+    @Test
+    void refuseANoteThatNamesAnItemTwice() {
+      assertEquals(
+          Reason.Code.CONTRADICTION,
+          codeOf(
+              "targets:",
+              "  - withdraw: lending-1",
+              "    builds-on: first",
+              "  - change: lending-1",
+              "    builds-on: first",
+              "    service: lending"));
+    }
+  }
+
+  @Nested
+  class RepeatedAndUnreadableRecords {
+
+    @Test
+    void aRepeatedRecordIsIgnored() {
+      ClusterState again =
+          Notes.then(OPEN, Notes.record("first", Notes.open("first", "lending", 6)));
+
+      assertEquals(1, again.verdicts().size());
+      assertEquals(OPEN.services(), again.services());
+    }
+
+    @Test
+    void anotherNoteWithTheSameIdIsRefused() {
+      ClusterState again =
+          Notes.then(OPEN, Notes.record("first", Notes.open("first", "production", 6)));
+
+      assertEquals(2, again.verdicts().size());
+      assertTrue(again.services().containsKey(new ServiceName("lending")));
+      assertEquals(1, again.services().size());
+    }
+
+    @Test
+    void bytesThatAreNoRecordChangeOnlyTheOffset() {
+      ClusterState after = LogFold.apply(OPEN, OPEN.offset() + 1, new byte[] {1, 2, 3});
+
+      assertEquals(OPEN.services(), after.services());
+      assertEquals(OPEN.offset() + 1, after.offset());
+    }
+
+    @Test
+    void aRecordOfANewerFormatChangesOnlyTheOffset() {
+      LogRecord newer =
+          Notes.record("second", Notes.open("second", "production", 6)).toBuilder()
+              .setFormat(2)
+              .build();
+
+      assertEquals(OPEN.services(), Notes.then(OPEN, newer).services());
+    }
+
+    @Test
+    void anOffsetThatDoesNotRiseIsRefused() {
+      IllegalArgumentException e =
+          assertThrows(IllegalArgumentException.class, () -> LogFold.apply(OPEN, 0, new byte[0]));
+
+      assertEquals("offset must be greater than 0, but was: 0", e.getMessage());
+    }
+  }
+
+  @Nested
+  class Announcements {
+
+    private final ClusterState joined = Notes.then(OPEN, Notes.joined("n1", 10, "lending-1"));
+
+    @Test
+    void aNewIncarnationReplacesAnOldOne() {
+      ClusterState after = Notes.then(joined, Notes.joined("n1", 11, "lending-1"));
+
+      assertEquals(new Incarnation(11), after.announced().get(new NodeName("n1")).incarnation());
+    }
+
+    @Test
+    void anOldIncarnationDoesNotComeBack() {
+      ClusterState after = Notes.then(joined, Notes.joined("n1", 9, "lending-1"));
+
+      assertEquals(new Incarnation(10), after.announced().get(new NodeName("n1")).incarnation());
+    }
+
+    @Test
+    void aLateLeaveOfAnOldIncarnationIsIgnored() {
+      ClusterState after =
+          Notes.then(joined, LogRecords.left(new NodeName("n1"), new Incarnation(9)));
+
+      assertEquals(1, after.announced().size());
+    }
+
+    @Test
+    void anEvictionByAMemberOfTheSameServiceCounts() {
+      ClusterState two = Notes.then(joined, Notes.joined("n2", 5, "lending-2"));
+      ClusterState after =
+          Notes.then(
+              two, LogRecords.evicted(new NodeName("n1"), new Incarnation(10), new NodeName("n2")));
+
+      assertEquals(1, after.announced().size());
+    }
+
+    @Test
+    void anEvictionByAStrangerIsIgnored() {
+      ClusterState after =
+          Notes.then(
+              joined,
+              LogRecords.evicted(new NodeName("n1"), new Incarnation(10), new NodeName("n9")));
+
+      assertEquals(1, after.announced().size());
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/testing/Notes.java
@@ -0,0 +1,75 @@
+package org.amaranthmoor.testing;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthmoor.model.NoteId;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.LogFold;
+import org.amaranthmoor.platform.LogRecords;
+import org.amaranthmoor.protocol.platform.Joined;
+import org.amaranthmoor.protocol.platform.LogRecord;
+
+/** Builds notes and states for tests. */
+public final class Notes {
+
+  private Notes() {}
+
+  /** Returns a note that opens a service with targets NAME-1 to NAME-count and a rule. */
+  public static String open(String note, String service, int targets) {
+    List<String> lines = new ArrayList<>();
+    lines.add("format: 1");
+    lines.add("note: " + note);
+    lines.add("services:");
+    lines.add("  - add: " + service);
+    lines.add("rules:");
+    lines.add("  - add: " + service);
+    lines.add("    service: " + service);
+    lines.add("    path-prefix: /" + service);
+    lines.add("targets:");
+    for (int i = 1; i <= targets; i++) {
+      lines.add("  - add: " + service + "-" + i);
+      lines.add("    service: " + service);
+    }
+    lines.add("end: " + note);
+    return String.join("\n", lines) + "\n";
+  }
+
+  /** Returns a note with a head, some lines and the end mark. */
+  public static String note(String id, String... lines) {
+    return "format: 1\nnote: " + id + "\n" + String.join("\n", lines) + "\nend: " + id + "\n";
+  }
+
+  /** Folds records in order from offset 0. */
+  public static ClusterState fold(LogRecord... records) {
+    ClusterState state = ClusterState.empty();
+    for (LogRecord record : records) {
+      state = LogFold.apply(state, state.offset() + 1, record.toByteArray());
+    }
+    return state;
+  }
+
+  /** Folds one more record. */
+  public static ClusterState then(ClusterState state, LogRecord record) {
+    return LogFold.apply(state, state.offset() + 1, record.toByteArray());
+  }
+
+  /** Returns the record of a note. */
+  public static LogRecord record(String id, String text) {
+    return LogRecords.note(new NoteId(id), text);
+  }
+
+  /** Returns the record by which a node beside a target announces itself. */
+  public static LogRecord joined(String node, long incarnation, String target) {
+    return LogRecords.joined(
+        Joined.newBuilder()
+            .setNode(node)
+            .setIncarnation(incarnation)
+            .setHost("127.0.0.1")
+            .setPort(9000)
+            .setZone("kochi")
+            .setRegion("kerala")
+            .setTarget(target)
+            .setSlots(6)
+            .build());
+  }
+}
