--- a/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/Main.java
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/Main.java
@@ -53,7 +53,8 @@
             .withCommand(StatusCommand.class)
             .withCommand(PlatformStandInCommand.class)
             .withCommand(TargetStandInCommand.class)
-            .withCommand(LoadCommand.class);
+            .withCommand(LoadCommand.class)
+            .withCommand(RandomRunCommand.class);
     builder
         .withGroup("report")
         .withDescription("Reports for operators")
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/Calls.java
@@ -0,0 +1,202 @@
+package org.amaranthmoor.testkit.random;
+
+import java.util.Optional;
+import org.amaranthmoor.model.IdempotencyKey;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.ExchangeLedger;
+import org.amaranthmoor.target.HandOver;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.Homes;
+import org.amaranthmoor.target.KeyLedger;
+
+/**
+ * Callers that repeat a request with its key until it is answered, through any node.
+ *
+ * <p>The steps of the path run as separate events, so that a pause, a kill or a cut falls between
+ * any two of them. Confined to one thread.
+ */
+final class Calls {
+
+  private static final int MAX_REPEATS = 6;
+  private static final long ENTRY_TIMEOUT_MILLIS = 1_500;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final RandomRun world;
+  private final ServiceName service;
+  private long nextAttempt;
+  private long started;
+  private long answered;
+
+  Calls(RandomRun world, ServiceName service) {
+    this.world = world;
+    this.service = service;
+  }
+
+  private static final class Attempt {
+    private final long id;
+    private final IdempotencyKey key;
+    private final int repeat;
+    private final ExchangeLedger.ConnectionId connection;
+    private boolean ended;
+
+    Attempt(long id, IdempotencyKey key, int repeat, String entry, long entryIncarnation) {
+      this.id = id;
+      this.key = key;
+      this.repeat = repeat;
+      this.connection = new ExchangeLedger.ConnectionId(entry, entryIncarnation, id);
+    }
+  }
+
+  long started() {
+    return started;
+  }
+
+  long answered() {
+    return answered;
+  }
+
+  void start(IdempotencyKey key) {
+    started++;
+    attempt(key, 0);
+  }
+
+  private void attempt(IdempotencyKey key, int repeat) {
+    FakeNode entry = world.anyNode();
+    Optional<Homes.Member> home = entry.homes(service).homeOf(key);
+    if (home.isEmpty()) {
+      repeatLater(key, repeat);
+      return;
+    }
+    Attempt attempt =
+        new Attempt(nextAttempt++, key, repeat, entry.name.value(), entry.incarnation.value());
+    world.queue.after(ENTRY_TIMEOUT_MILLIS, () -> timeOut(attempt));
+    world
+        .find(home.get())
+        .ifPresent(
+            node -> {
+              node.run(() -> node.exchanges.onConnected(attempt.connection));
+              world.queue.after(world.delay(), () -> node.run(() -> arrive(node, attempt)));
+              if (world.chance(0.1)) {
+                loseLink(node, attempt);
+              }
+            });
+  }
+
+  // The entry side lost the link at some moment and asks over a new one.
+  private void loseLink(FakeNode node, Attempt attempt) {
+    world.queue.after(
+        world.delay(),
+        () ->
+            node.run(
+                () -> {
+                  ExchangeLedger.Settlement settlement =
+                      node.exchanges.settle(attempt.connection, 1);
+                  if (settlement == ExchangeLedger.Settlement.FENCED) {
+                    notRun(attempt);
+                  }
+                }));
+  }
+
+  private void arrive(FakeNode node, Attempt attempt) {
+    HandOver handOver = node.exchanges.register(attempt.connection, 1);
+    HomeDuty.Vouching vouching = node.duty.vouch(attempt.key, world.queue.nanos());
+    switch (vouching) {
+      case NOT_HOME -> reply(() -> notRun(attempt));
+      case CANNOT_KNOW -> reply(() -> unknown(attempt));
+      case VOUCHED -> claim(node, attempt, handOver);
+    }
+  }
+
+  private void claim(FakeNode node, Attempt attempt, HandOver handOver) {
+    long wall = world.queue.wallMillis() + node.clockSkewMillis;
+    switch (node.keys.claim(attempt.key, wall)) {
+      case KeyLedger.Claim.Fresh<String> fresh ->
+          world.queue.after(world.delay(), () -> node.run(() -> commit(node, attempt, handOver)));
+      case KeyLedger.Claim.Answered<String> known -> reply(() -> answered(attempt));
+      case KeyLedger.Claim.InProgress<String> running -> reply(() -> unknown(attempt));
+      case KeyLedger.Claim.RanUnknown<String> ran -> reply(() -> unknown(attempt));
+      case KeyLedger.Claim.TooOld<String> old -> reply(() -> unknown(attempt));
+      case KeyLedger.Claim.Full<String> full -> reply(() -> notRun(attempt));
+    }
+  }
+
+  private void commit(FakeNode node, Attempt attempt, HandOver handOver) {
+    boolean vouched =
+        node.duty.vouch(attempt.key, world.queue.nanos()) == HomeDuty.Vouching.VOUCHED;
+    if (!vouched || !handOver.commit()) {
+      node.keys.release(attempt.key);
+      reply(() -> notRun(attempt));
+      return;
+    }
+    // The process may be paused between the check and the write, however long.
+    world.queue.after(
+        world.chance(0.02) ? world.random.nextLong(20_000) : 0,
+        () -> node.run(() -> write(node, attempt)));
+  }
+
+  private void write(FakeNode node, Attempt attempt) {
+    world.executions.onRun(attempt.key, attempt.id, node.member().node() + "/" + node.incarnation);
+    world.queue.after(
+        world.delay(),
+        () ->
+            node.run(
+                () -> {
+                  if (world.chance(0.9)) {
+                    node.keys.answered(attempt.key, Optional.of("done"));
+                    reply(() -> answered(attempt));
+                  } else {
+                    node.keys.unknown(attempt.key);
+                    reply(() -> unknown(attempt));
+                  }
+                }));
+  }
+
+  private void reply(Runnable action) {
+    if (!world.chance(0.05)) {
+      world.queue.after(world.delay(), action);
+    }
+  }
+
+  private void answered(Attempt attempt) {
+    if (!attempt.ended) {
+      attempt.ended = true;
+      answered++;
+      // Some callers do not believe the answer and repeat all the same.
+      if (world.chance(0.1)) {
+        repeatLater(attempt.key, attempt.repeat);
+      }
+    }
+  }
+
+  private void notRun(Attempt attempt) {
+    world.executions.onReportedNotRun(attempt.id);
+    end(attempt);
+  }
+
+  private void unknown(Attempt attempt) {
+    end(attempt);
+  }
+
+  private void timeOut(Attempt attempt) {
+    end(attempt);
+  }
+
+  private void end(Attempt attempt) {
+    if (!attempt.ended) {
+      attempt.ended = true;
+      repeatLater(attempt.key, attempt.repeat);
+    }
+  }
+
+  private void repeatLater(IdempotencyKey key, int repeat) {
+    if (repeat < MAX_REPEATS) {
+      long wait = world.chance(0.2) ? world.random.nextLong(15_000) : world.random.nextLong(1_000);
+      world.queue.after(wait, () -> attempt(key, repeat + 1));
+    }
+  }
+
+  /** Returns a time in nanoseconds. */
+  static long nanos(long millis) {
+    return millis * NANOS_PER_MILLI;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/FakeNode.java
@@ -0,0 +1,108 @@
+package org.amaranthmoor.testkit.random;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.TargetName;
+import org.amaranthmoor.platform.Announced;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.StateHolder;
+import org.amaranthmoor.target.ExchangeLedger;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.Homes;
+import org.amaranthmoor.target.KeyLedger;
+
+/**
+ * One run of a node's process: the real decision classes and what the operating system does to
+ * them.
+ *
+ * <p>A paused run does nothing until it is resumed, and then does all that arrived meanwhile.
+ * Confined to one thread.
+ */
+final class FakeNode {
+
+  private static final int MAX_KEYS = 100_000;
+  private static final int MAX_ANSWER_BYTES = 1_000;
+
+  final NodeName name;
+  final Incarnation incarnation;
+  final TargetName target;
+  final long clockSkewMillis;
+  final HomeDuty duty;
+  final StateHolder holder = new StateHolder();
+  final ExchangeLedger exchanges = new ExchangeLedger();
+  final KeyLedger<String> keys = new KeyLedger<>(MAX_KEYS, MAX_ANSWER_BYTES, String::length);
+  private final Deque<Runnable> inbox = new ArrayDeque<>();
+  private boolean paused;
+  private boolean dead;
+  boolean cutFromLog;
+  boolean reading;
+  boolean announced;
+
+  FakeNode(NodeName name, Incarnation incarnation, TargetName target, long clockSkewMillis) {
+    this.name = name;
+    this.incarnation = incarnation;
+    this.target = target;
+    this.clockSkewMillis = clockSkewMillis;
+    this.duty = new HomeDuty(member());
+  }
+
+  Homes.Member member() {
+    return new Homes.Member(name, incarnation);
+  }
+
+  boolean running() {
+    return !paused && !dead;
+  }
+
+  boolean dead() {
+    return dead;
+  }
+
+  /** Does something now, or at the end of a pause, or never if the run has ended. */
+  void run(Runnable action) {
+    if (dead) {
+      return;
+    }
+    if (paused) {
+      inbox.addLast(action);
+    } else {
+      action.run();
+    }
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  void resume() {
+    paused = false;
+    List<Runnable> missed = new ArrayList<>(inbox);
+    inbox.clear();
+    missed.forEach(this::run);
+  }
+
+  void kill() {
+    dead = true;
+    inbox.clear();
+  }
+
+  /** Returns the members of a service as this node knows them. */
+  Homes homes(ServiceName service) {
+    return Homes.of(holder.current(), service);
+  }
+
+  Optional<Announced> self() {
+    return Optional.ofNullable(holder.current().announced().get(name))
+        .filter(a -> a.incarnation().equals(incarnation));
+  }
+
+  ClusterState state() {
+    return holder.current();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/RandomRun.java
@@ -0,0 +1,357 @@
+package org.amaranthmoor.testkit.random;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.amaranthmoor.model.IdempotencyKey;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.NoteId;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.TargetName;
+import org.amaranthmoor.platform.CheckpointCodec;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.LogRecords;
+import org.amaranthmoor.platform.PlatformLog;
+import org.amaranthmoor.platform.StateReader;
+import org.amaranthmoor.platform.Verdict;
+import org.amaranthmoor.protocol.platform.Joined;
+import org.amaranthmoor.protocol.platform.LogRecord;
+import org.amaranthmoor.target.Homes;
+import org.amaranthmoor.testkit.platform.InMemoryLog;
+
+/**
+ * A service of a few nodes under random faults: pauses, kills, replacements, false suspicions, cuts
+ * from the log, outages, lost answers, lapsed records, late checkpoints and conflicting notes.
+ *
+ * <p>Everything is derived from the seed. Confined to one thread.
+ */
+public final class RandomRun {
+
+  private static final ServiceName SERVICE = new ServiceName("lending");
+  private static final long START_MILLIS = 100_000_000L;
+  private static final long RETENTION_MILLIS = 40_000;
+  private static final int NODES = 4;
+  private static final int APPENDS_PER_SECOND = 1_000;
+  private static final long MAX_HALF_SKEW_MILLIS = 500;
+  private static final long LEASE_PERIOD_MILLIS = 1_000;
+
+  final EventQueue queue = new EventQueue(START_MILLIS);
+  final SplittableRandom random;
+  final Executions executions = new Executions();
+  private final InMemoryLog log = new InMemoryLog(queue, RETENTION_MILLIS, APPENDS_PER_SECOND);
+  private final StateReader reader = new StateReader(log);
+  private final List<FakeNode> nodes = new ArrayList<>();
+  private final Map<Long, String> digests = new HashMap<>();
+  private final Map<NoteId, String> verdicts = new HashMap<>();
+  private final Calls calls;
+  private long nextIncarnation = 1;
+  private long nextNote = 1;
+  private long steps;
+
+  /**
+   * Creates a run.
+   *
+   * @param seed the seed
+   */
+  public RandomRun(long seed) {
+    this.random = new SplittableRandom(seed);
+    this.calls = new Calls(this, SERVICE);
+    append(LogRecords.note(new NoteId("open"), openingNote()));
+    for (int i = 1; i <= NODES; i++) {
+      nodes.add(start(i));
+    }
+    queue.after(0, this::disturb);
+    queue.after(0, this::makeCall);
+    queue.after(0, this::publish);
+  }
+
+  /** What a run did. */
+  public record Summary(long seed, long steps, int executions, long calls, long answered) {}
+
+  /**
+   * Runs for a while of its own time.
+   *
+   * @param seed the seed
+   * @param millis how long, in milliseconds of its own time
+   * @return what it did
+   * @throws Executions.ViolationException if an invariant is broken
+   */
+  public static Summary run(long seed, long millis) {
+    RandomRun run = new RandomRun(seed);
+    long end = START_MILLIS + millis;
+    while (run.queue.runNext(end)) {
+      run.steps++;
+    }
+    return new Summary(
+        seed, run.steps, run.executions.total(), run.calls.started(), run.calls.answered());
+  }
+
+  private static String openingNote() {
+    StringBuilder text = new StringBuilder("format: 1\nnote: open\nservices:\n  - add: lending\n");
+    text.append("rules:\n  - add: lending\n    service: lending\n    path-prefix: /lending\n");
+    text.append("targets:\n");
+    for (int i = 1; i <= NODES; i++) {
+      text.append("  - add: t").append(i).append("\n    service: lending\n");
+    }
+    return text.append("end: open\n").toString();
+  }
+
+  private FakeNode start(int number) {
+    long skew = random.nextLong(-MAX_HALF_SKEW_MILLIS, MAX_HALF_SKEW_MILLIS + 1);
+    FakeNode node =
+        new FakeNode(
+            new NodeName("n" + number),
+            new Incarnation(nextIncarnation++),
+            new TargetName("t" + number),
+            skew);
+    queue.after(random.nextLong(300), () -> tick(node));
+    queue.after(random.nextLong(LEASE_PERIOD_MILLIS), () -> askForConfirmations(node));
+    return node;
+  }
+
+  /** Returns a node that is not dead. */
+  FakeNode anyNode() {
+    return nodes.get(random.nextInt(nodes.size()));
+  }
+
+  Optional<FakeNode> find(Homes.Member member) {
+    return nodes.stream().filter(node -> node.member().equals(member)).findFirst();
+  }
+
+  boolean chance(double probability) {
+    return random.nextDouble() < probability;
+  }
+
+  /** Returns a delay of a message: mostly short, sometimes very long. */
+  long delay() {
+    return chance(0.05) ? random.nextLong(6_000) : random.nextLong(20);
+  }
+
+  private void append(LogRecord record) {
+    var unused = log.append(PlatformLog.MAIN_STREAM, record.toByteArray());
+  }
+
+  // Reads the log at one moment and takes the result in at a later one.
+  private void tick(FakeNode node) {
+    if (node.dead()) {
+      return;
+    }
+    queue.after(100 + random.nextLong(300), () -> tick(node));
+    if (!node.running() || node.cutFromLog || node.reading) {
+      return;
+    }
+    node.reading = true;
+    long startedNanos = queue.nanos();
+    ClusterState before = node.state();
+    queue.after(
+        delay() / 2,
+        () -> {
+          StateReader.Step step = reader.step(before, 0);
+          queue.after(delay() / 2, () -> node.run(() -> takeIn(node, before, step, startedNanos)));
+        });
+  }
+
+  private void takeIn(
+      FakeNode node, ClusterState before, StateReader.Step step, long startedNanos) {
+    node.reading = false;
+    if (!(step instanceof StateReader.Step.Progress progress)) {
+      return;
+    }
+    if (progress.state().offset() > before.offset()
+        && node.holder.advance(progress.state(), progress.contiguous())) {
+      checkAgreement(progress.state());
+      node.duty.onHomes(
+          node.homes(SERVICE), progress.contiguous(), queue.wallMillis() + node.clockSkewMillis);
+      rejoinIfEvicted(node);
+    }
+    if (progress.atEnd()) {
+      node.duty.onLogRead(startedNanos);
+      if (!node.announced) {
+        node.announced = true;
+        announce(node);
+      }
+    }
+  }
+
+  // A run that finds itself evicted ends, and a new one takes its place.
+  private void rejoinIfEvicted(FakeNode node) {
+    boolean evicted = node.announced && node.self().isEmpty() && wasSeen(node);
+    if (evicted) {
+      replace(node);
+    }
+  }
+
+  private boolean wasSeen(FakeNode node) {
+    return node.state().recentRecordIds().stream()
+        .anyMatch(id -> id.equals("joined/" + node.name + "/" + node.incarnation));
+  }
+
+  private void announce(FakeNode node) {
+    append(
+        LogRecords.joined(
+            Joined.newBuilder()
+                .setNode(node.name.value())
+                .setIncarnation(node.incarnation.value())
+                .setHost("127.0.0.1")
+                .setPort(1)
+                .setZone("z")
+                .setRegion("r")
+                .setTarget(node.target.value())
+                .setSlots(6)
+                .build()));
+  }
+
+  // Two states with one offset must be equal, and a verdict never changes.
+  private void checkAgreement(ClusterState state) {
+    String digest = CheckpointCodec.digest(state);
+    String known = digests.putIfAbsent(state.offset(), digest);
+    if (known != null && !known.equals(digest)) {
+      throw new Executions.ViolationException("two states at offset " + state.offset());
+    }
+    for (Verdict verdict : state.verdicts()) {
+      String text = verdict.toString();
+      String before = verdicts.putIfAbsent(verdict.note(), text);
+      if (before != null && !before.equals(text)) {
+        throw new Executions.ViolationException("the verdict of " + verdict.note() + " changed");
+      }
+    }
+  }
+
+  private void askForConfirmations(FakeNode node) {
+    if (node.dead()) {
+      return;
+    }
+    queue.after(LEASE_PERIOD_MILLIS, () -> askForConfirmations(node));
+    if (!node.running() || node.duty.current().isEmpty()) {
+      return;
+    }
+    Homes homes = node.duty.current().get();
+    long askedNanos = queue.nanos();
+    for (Homes.Member member : homes.members()) {
+      if (!member.equals(node.member()) && !chance(0.1)) {
+        queue.after(delay(), () -> confirm(node, homes, member, askedNanos));
+      }
+    }
+  }
+
+  private void confirm(FakeNode asking, Homes homes, Homes.Member member, long askedNanos) {
+    find(member)
+        .ifPresent(
+            peer ->
+                peer.run(
+                    () -> {
+                      if (peer.duty.confirms(homes.fingerprint())) {
+                        queue.after(
+                            delay(),
+                            () -> asking.run(() -> confirmed(asking, homes, member, askedNanos)));
+                      }
+                    }));
+  }
+
+  private void confirmed(FakeNode asking, Homes homes, Homes.Member member, long askedNanos) {
+    asking.duty.onConfirmed(
+        member, homes.fingerprint(), askedNanos, queue.wallMillis() + asking.clockSkewMillis);
+  }
+
+  private void disturb() {
+    queue.after(random.nextLong(1_500), this::disturb);
+    FakeNode node = anyNode();
+    switch (random.nextInt(10)) {
+      case 0, 1 -> pause(node);
+      case 2 -> replace(node);
+      case 3, 4 -> evict(node);
+      case 5 -> cut(node);
+      case 6 -> outage();
+      case 7 -> log.loseAnswers(1 + random.nextInt(3));
+      default -> writeCheckpoint(node);
+    }
+  }
+
+  private void pause(FakeNode node) {
+    node.pause();
+    queue.after(random.nextLong(12_000), node::resume);
+  }
+
+  private void replace(FakeNode node) {
+    node.kill();
+    int index = nodes.indexOf(node);
+    if (index >= 0) {
+      nodes.set(index, start(index + 1));
+    }
+  }
+
+  // Suspicion may be false: the victim may be alive, paused or cut off.
+  private void evict(FakeNode by) {
+    Homes homes = by.homes(SERVICE);
+    List<Homes.Member> others =
+        homes.members().stream().filter(member -> !member.equals(by.member())).toList();
+    if (!by.running() || others.isEmpty() || !homes.members().contains(by.member())) {
+      return;
+    }
+    Homes.Member victim = others.get(random.nextInt(others.size()));
+    by.duty.onEvictionRequested();
+    if (!by.cutFromLog) {
+      LogRecord record = LogRecords.evicted(victim.node(), victim.incarnation(), by.name);
+      queue.after(delay(), () -> append(record));
+    }
+  }
+
+  private void cut(FakeNode node) {
+    node.cutFromLog = true;
+    queue.after(random.nextLong(15_000), () -> node.cutFromLog = false);
+  }
+
+  private void outage() {
+    log.setDown(true);
+    queue.after(random.nextLong(10_000), () -> log.setDown(false));
+  }
+
+  // The state is taken at one moment and written at a later one, as by a writer that was paused.
+  private void writeCheckpoint(FakeNode node) {
+    if (node.state().offset() == ClusterState.NO_OFFSET) {
+      return;
+    }
+    byte[] bytes =
+        CheckpointCodec.write(node.state(), node.name, queue.wallMillis() / RETENTION_MILLIS);
+    queue.after(
+        delay(),
+        () -> {
+          var unused = log.append(PlatformLog.CHECKPOINT_STREAM, bytes);
+        });
+  }
+
+  private void makeCall() {
+    queue.after(random.nextLong(60), this::makeCall);
+    long skew = random.nextLong(-MAX_HALF_SKEW_MILLIS, MAX_HALF_SKEW_MILLIS + 1);
+    IdempotencyKey key =
+        IdempotencyKey.create(queue.wallMillis() + skew, random.nextLong(), random.nextInt());
+    calls.start(key);
+  }
+
+  // Operators base their notes on what some node knows, which may be old.
+  private void publish() {
+    queue.after(random.nextLong(8_000), this::publish);
+    ClusterState known = anyNode().state();
+    if (known.services().get(SERVICE) == null) {
+      return;
+    }
+    String id = "note-" + nextNote++;
+    String text =
+        "format: 1\nnote: "
+            + id
+            + "\nservices:\n  - change: lending\n    builds-on: "
+            + known.services().get(SERVICE).revision()
+            + "\nend: "
+            + id
+            + "\n";
+    LogRecord record = LogRecords.note(new NoteId(id), text);
+    append(record);
+    if (chance(0.3)) {
+      queue.after(delay(), () -> append(record));
+    }
+  }
+}
