--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.amaranthmoor.daemon.caller.CallerHandler;
@@ -30,6 +31,7 @@
 import org.amaranthmoor.daemon.node.PeerServer;
 import org.amaranthmoor.daemon.operator.AdminHandler;
 import org.amaranthmoor.daemon.operator.StatusCollector;
+import org.amaranthmoor.daemon.operator.StatusView;
 import org.amaranthmoor.daemon.platform.Announcer;
 import org.amaranthmoor.daemon.platform.Checkpointer;
 import org.amaranthmoor.daemon.platform.HttpPlatformLog;
@@ -102,6 +104,7 @@
   private final GossipSocket gossip;
   private final HttpListener callerListener;
   private final HttpListener adminListener;
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean announcedOnce;
   private volatile boolean draining;
   private volatile boolean logReadToEnd;
@@ -174,9 +177,7 @@
     this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
     this.adminListener =
         new HttpListener(
-            address(settings.adminPort()),
-            new AdminHandler(
-                metrics, this::obstacle, () -> statusCollector.collect(follower.available())));
+            address(settings.adminPort()), new AdminHandler(metrics, this::obstacle, this::status));
   }
 
   private TargetSide createTargetSide() {
@@ -437,7 +438,7 @@
     long notice = time.nanos() + TimeUnit.MILLISECONDS.toNanos(NOTICE_MILLIS);
     boolean finished = awaitIdle(notice, limit);
     log.info("drain-ended", () -> "finished=" + finished + " in-progress=" + inProgress());
-    close();
+    halt();
     return finished;
   }
 
@@ -461,6 +462,18 @@
     return targetSide.running() + callerHandler.inProgress();
   }
 
+  /** Returns the status of the system as this node sees it; blocks for about a second at most. */
+  public StatusView status() {
+    return statusCollector.collect(follower.available());
+  }
+
+  /** Ends at once, as if the process were killed; does nothing if the node has stopped. */
+  public void halt() {
+    if (closed.compareAndSet(false, true)) {
+      close();
+    }
+  }
+
   private void close() {
     scheduler.shutdownNow();
     follower.close();
--- /dev/null
+++ b/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/deployment/DeploymentTests.java
@@ -0,0 +1,490 @@
+package org.amaranthmoor.testkit.deployment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.amaranthmoor.caller.CallHeaders;
+import org.amaranthmoor.model.IdempotencyKey;
+import org.amaranthmoor.platform.Publisher;
+import org.amaranthmoor.platform.Verdict;
+import org.amaranthmoor.testkit.caller.HttpCaller;
+import org.amaranthmoor.testkit.target.TargetServer;
+import org.amaranthmoor.testkit.target.TargetServer.Faults;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DeploymentTests {
+
+  private static final int NODES = 3;
+
+  private Deployment deployment;
+
+  @BeforeEach
+  void startThreeNodes() throws IOException {
+    deployment = new Deployment();
+    for (int i = 1; i <= NODES; i++) {
+      deployment.start("lending-" + i, 5);
+    }
+    assertInstanceOf(Publisher.Published.Judged.class, deployment.publish("open", note()));
+    deployment.awaitServing();
+  }
+
+  @AfterEach
+  void stopAll() {
+    deployment.close();
+  }
+
+  private static String note() {
+    StringBuilder text = new StringBuilder("format: 1\nnote: open\nservices:\n  - add: lending\n");
+    text.append("rules:\n  - add: lending\n    service: lending\n    path-prefix: /lending\n");
+    text.append("targets:\n");
+    for (int i = 1; i <= NODES; i++) {
+      text.append("  - add: lending-").append(i).append("\n    service: lending\n");
+    }
+    return text.append("end: open\n").toString();
+  }
+
+  private static ClassicRequestBuilder request(String method, String path, String id) {
+    return ClassicRequestBuilder.create(method)
+        .setPath(path)
+        .addHeader(TargetServer.REQUEST_ID, id);
+  }
+
+  private HttpCaller.Answer call(int node, ClassicRequestBuilder request) throws IOException {
+    try (HttpCaller caller = deployment.caller(node)) {
+      return caller.call(request);
+    }
+  }
+
+  private int executions(String id) {
+    int sum = 0;
+    for (int i = 0; i < NODES; i++) {
+      sum += deployment.target(i).executions(id);
+    }
+    return sum;
+  }
+
+  private void setAllFaults(Faults faults) {
+    for (int i = 0; i < NODES; i++) {
+      deployment.target(i).setFaults(faults);
+    }
+  }
+
+  @Test
+  void everyNodeServesACall() throws IOException {
+    for (int i = 0; i < NODES; i++) {
+      HttpCaller.Answer answer = call(i, request("GET", "/lending/pages", "id-" + i));
+
+      assertEquals(200, answer.status());
+      assertTrue(answer.text().startsWith("echo id-" + i + " "), answer.text());
+      assertEquals("answered", answer.header(CallHeaders.OUTCOME));
+    }
+  }
+
+  @Test
+  void manyCallsAtOnceEachGetTheirOwnAnswer() throws Exception {
+    List<Callable<Boolean>> calls = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      int number = i;
+      calls.add(
+          () -> {
+            String id = "own-" + number;
+            String path = number % 3 == 0 ? "/lending/large/150000" : "/lending/pages";
+            HttpCaller.Answer answer = call(number % NODES, request("GET", path, id));
+            return answer.header(TargetServer.REQUEST_ID).equals(id)
+                && (number % 3 != 0 || answer.body().length == 150_000);
+          });
+    }
+    try (ExecutorService executor = Executors.newFixedThreadPool(12)) {
+      for (Future<Boolean> own : executor.invokeAll(calls)) {
+        assertTrue(own.get(), "the answer is whole and its own");
+      }
+    }
+  }
+
+  @Test
+  void aRequestWithoutARuleIsRefusedAsNotRun() throws IOException {
+    HttpCaller.Answer answer = call(0, request("GET", "/nowhere", "x"));
+
+    assertEquals(404, answer.status());
+    assertEquals("401", answer.header(CallHeaders.CODE));
+    assertEquals("not-run", answer.header(CallHeaders.OUTCOME));
+  }
+
+  @Test
+  void aKeyThatIsNoUuidOfVersionSevenIsRefused() throws IOException {
+    HttpCaller.Answer answer =
+        call(
+            0,
+            request("POST", "/lending/reservations", "x")
+                .addHeader(CallHeaders.IDEMPOTENCY_KEY, "abc"));
+
+    assertEquals(400, answer.status());
+    assertEquals(
+        "not-run 402 BAD_HEADER: Idempotency-Key must be a UUID of version 7\n", answer.text());
+  }
+
+  @Nested
+  class Failures {
+
+    @Test
+    void aPostWhoseConnectionBreaksAfterTheRunIsUnknownAndNotRepeated() throws IOException {
+      setAllFaults(new Faults(1, false, false, true, false, 0, false));
+
+      HttpCaller.Answer answer = call(0, request("POST", "/lending/reservations", "once"));
+
+      assertEquals("unknown", answer.header(CallHeaders.OUTCOME));
+      assertEquals("203", answer.header(CallHeaders.CODE));
+      assertEquals(1, executions("once"));
+    }
+
+    @Test
+    void aTargetThatLiesAboutItsLengthGivesNoFragment() throws IOException {
+      setAllFaults(new Faults(1, false, false, false, true, 0, false));
+
+      HttpCaller.Answer answer = call(0, request("POST", "/lending/reservations", "lie"));
+
+      assertEquals("unknown", answer.header(CallHeaders.OUTCOME));
+      assertEquals(1, executions("lie"));
+    }
+
+    @Test
+    void aRequestThatNoTargetAcceptsIsNotRunAndToldWhenToComeBack() throws IOException {
+      for (int i = 0; i < NODES; i++) {
+        deployment.target(i).close();
+      }
+
+      HttpCaller.Answer answer = call(0, request("POST", "/lending/reservations", "none"));
+
+      assertEquals("not-run", answer.header(CallHeaders.OUTCOME));
+      assertEquals("103", answer.header(CallHeaders.CODE));
+      assertFalse(answer.header(CallHeaders.RETRY_AFTER).isEmpty(), "retry-after is stated");
+      assertEquals(0, executions("none"));
+    }
+
+    @Test
+    void aDeadNodeIsPassedOver() throws IOException {
+      deployment.node(1).daemon().halt();
+
+      for (int i = 0; i < 20; i++) {
+        assertEquals(200, call(0, request("GET", "/lending/pages", "dead-" + i)).status());
+      }
+    }
+
+    @Test
+    void aLargeAnswerWhoseNodeDiesIsCutBeforeItsStatedEnd() throws IOException {
+      long stated = 200_000_000;
+      InetSocketAddress address = deployment.node(0).callerAddress();
+      try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+        String request = "GET /lending/large/" + stated + " HTTP/1.1\r\nHost: x\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        InputStream in = socket.getInputStream();
+        String head = new String(in.readNBytes(10_000), StandardCharsets.ISO_8859_1);
+
+        for (int i = 0; i < NODES; i++) {
+          deployment.node(i).daemon().halt();
+        }
+
+        assertTrue(head.contains("Content-Length: " + stated), "the length is stated");
+        assertTrue(readToEnd(in) < stated, "the connection ends before the stated length");
+      }
+    }
+
+    private static long readToEnd(InputStream in) {
+      long total = 0;
+      byte[] buffer = new byte[64 * 1024];
+      try {
+        int count = in.read(buffer);
+        while (count >= 0) {
+          total += count;
+          count = in.read(buffer);
+        }
+      } catch (IOException e) {
+        // A reset ends the answer as visibly as an early close.
+        return total;
+      }
+      return total;
+    }
+
+    @Test
+    void callsGoOnWhileThePlatformIsDown() throws IOException {
+      deployment.log().setDown(true);
+
+      assertEquals(200, call(0, request("GET", "/lending/pages", "down")).status());
+    }
+
+    @Test
+    void aNodeThatStartsWhileThePlatformIsDownGetsTheStateFromItsPeers() throws IOException {
+      deployment.log().setDown(true);
+      deployment.startNode("lending-4", deployment.target(0).port());
+
+      Deployment.await(
+          "the new node serves",
+          () -> {
+            try {
+              return call(NODES, request("GET", "/lending/pages", "new")).status() == 200;
+            } catch (IOException e) {
+              return false;
+            }
+          });
+    }
+  }
+
+  @Nested
+  class RepeatsByTheCaller {
+
+    private static final int ACCEPTED = 200;
+
+    // Keys made right after the start may have been run by an earlier home, so they are unknown.
+    private HttpCaller.Answer firstAnswer(String id) {
+      List<HttpCaller.Answer> answers = new ArrayList<>();
+      Deployment.await(
+          "a home vouches for a fresh key",
+          () -> {
+            answers.add(post(0, id, key()));
+            return answers.getLast().status() == ACCEPTED;
+          });
+      return answers.getLast();
+    }
+
+    private IdempotencyKey key() {
+      return IdempotencyKey.create(System.currentTimeMillis(), System.nanoTime(), 7);
+    }
+
+    private HttpCaller.Answer post(int node, String id, IdempotencyKey key) {
+      try {
+        return call(
+            node,
+            request("POST", "/lending/reservations", id)
+                .addHeader(CallHeaders.IDEMPOTENCY_KEY, key.toString()));
+      } catch (IOException e) {
+        throw new IllegalStateException("no answer", e);
+      }
+    }
+
+    @Test
+    void aRepeatThroughAnotherNodeGetsTheFirstAnswer() {
+      firstAnswer("warm");
+      IdempotencyKey key = key();
+      HttpCaller.Answer first = post(0, "keyed", key);
+      HttpCaller.Answer second = post(1, "keyed", key);
+
+      assertEquals(200, first.status());
+      assertEquals(first.text(), second.text());
+      assertEquals("true", second.header(CallHeaders.REPLAYED));
+      assertEquals(1, executions("keyed"));
+    }
+
+    @Test
+    void aRepeatAfterTheFirstNodeDiedNeverRunsAgain() {
+      firstAnswer("warm");
+      IdempotencyKey key = key();
+      post(0, "died", key);
+      int home =
+          deployment.target(0).executions("died") > 0
+              ? 0
+              : deployment.target(1).executions("died") > 0 ? 1 : 2;
+      deployment.node(home).daemon().halt();
+      int other = (home + 1) % NODES;
+
+      for (int i = 0; i < 5; i++) {
+        post(other, "died", key);
+      }
+
+      assertEquals(1, executions("died"));
+    }
+
+    @Test
+    void keysAreServedWhileThePlatformIsDown() {
+      firstAnswer("warm");
+      deployment.log().setDown(true);
+      long end = System.nanoTime() + 5_000_000_000L;
+      int answered = 0;
+      for (int i = 0; System.nanoTime() < end; i++) {
+        answered += post(i % NODES, "down-" + i, key()).status() == ACCEPTED ? 1 : 0;
+      }
+      HttpCaller.Answer last = firstAnswer("still-down");
+
+      assertEquals(ACCEPTED, last.status());
+      assertTrue(answered > 0, "keyed calls were answered during the outage");
+    }
+  }
+
+  @Nested
+  class PlannedStop {
+
+    /** An upload that goes on only when it is let go. */
+    private static final class HeldUpload extends InputStream {
+      private static final int FIRST_BYTES = 200_000;
+      private static final int ALL_BYTES = 400_000;
+      private final CountDownLatch started = new CountDownLatch(1);
+      private final CountDownLatch letGo = new CountDownLatch(1);
+      private int position;
+
+      @Override
+      public int read() throws IOException {
+        if (position == FIRST_BYTES) {
+          started.countDown();
+          try {
+            letGo.await();
+          } catch (InterruptedException e) {
+            throw new IOException("interrupted", e);
+          }
+        }
+        return position >= ALL_BYTES ? -1 : position++ & 0x7F;
+      }
+
+      @Override
+      public int read(byte[] buffer, int offset, int length) throws IOException {
+        int first = read();
+        if (first < 0) {
+          return -1;
+        }
+        buffer[offset] = (byte) first;
+        return 1;
+      }
+    }
+
+    @Test
+    void aLongUploadThroughALeavingNodeIsFinished() throws Exception {
+      HeldUpload upload = new HeldUpload();
+      CompletableFuture<HttpCaller.Answer> answer =
+          CompletableFuture.supplyAsync(() -> upload(upload));
+      upload.started.await();
+      Deployment.await("the upload is at a target", () -> inFlightNode() >= 0);
+      int serving = inFlightNode();
+
+      CompletableFuture<Boolean> entryStopped =
+          CompletableFuture.supplyAsync(() -> deployment.stopNode(0));
+      CompletableFuture<Boolean> targetStopped =
+          serving == 0
+              ? entryStopped
+              : CompletableFuture.supplyAsync(() -> deployment.stopNode(serving));
+      Thread.sleep(300);
+      upload.letGo.countDown();
+
+      assertEquals(200, answer.get().status());
+      assertTrue(answer.get().text().contains("length=400000 "), answer.get().text());
+      assertTrue(entryStopped.get(), "the entry side ended all requests");
+      assertTrue(targetStopped.get(), "the target side ended all requests");
+    }
+
+    private int inFlightNode() {
+      for (int i = 0; i < NODES; i++) {
+        String name = deployment.node(i).settings().node().value();
+        boolean busy =
+            deployment.node(0).daemon().status().nodes().stream()
+                .anyMatch(node -> node.node().equals(name) && node.inFlight() > 0);
+        if (busy) {
+          return i;
+        }
+      }
+      return -1;
+    }
+
+    private HttpCaller.Answer upload(HeldUpload upload) {
+      try (HttpCaller caller = deployment.caller(0)) {
+        return caller.upload(
+            request("PUT", "/lending/uploads/1", "upload").addHeader(CallHeaders.TIMEOUT, "60S"),
+            upload,
+            HeldUpload.ALL_BYTES);
+      } catch (IOException e) {
+        throw new IllegalStateException("no answer", e);
+      }
+    }
+
+    @Test
+    void aLeavingServerGetsNoNewWork() throws IOException {
+      CompletableFuture<Boolean> stopped =
+          CompletableFuture.supplyAsync(() -> deployment.stopNode(2));
+      Deployment.await(
+          "the other nodes know",
+          () ->
+              deployment.node(0).daemon().status().nodes().stream()
+                  .anyMatch(
+                      node -> node.node().equals("lending-3-node") && node.state().equals("left")));
+      long before = deployment.target(2).executed();
+      for (int i = 0; i < 30; i++) {
+        assertEquals(200, call(i % 2, request("GET", "/lending/pages", "l" + i)).status());
+      }
+
+      assertEquals(before, deployment.target(2).executed());
+      assertTrue(stopped.join());
+    }
+  }
+
+  @Nested
+  class TwoOperators {
+
+    private String change(String id, int deadline) {
+      return "format: 1\nnote: "
+          + id
+          + "\nservices:\n  - change: lending\n    builds-on: open\n    deadline-millis: "
+          + deadline
+          + "\nend: "
+          + id
+          + "\n";
+    }
+
+    @Test
+    void whoPublishAtOnceGetOneWinnerWhomTheRefusalNames() throws Exception {
+      Publisher.Published a;
+      Publisher.Published b;
+      try (ExecutorService executor = Executors.newFixedThreadPool(2)) {
+        Future<Publisher.Published> first =
+            executor.submit(() -> deployment.publish("a", change("a", 1_000)));
+        Future<Publisher.Published> second =
+            executor.submit(() -> deployment.publish("b", change("b", 2_000)));
+        a = first.get();
+        b = second.get();
+      }
+      Verdict va = assertInstanceOf(Publisher.Published.Judged.class, a).verdict();
+      Verdict vb = assertInstanceOf(Publisher.Published.Judged.class, b).verdict();
+      Verdict winner = va.offset() < vb.offset() ? va : vb;
+      Verdict loser = winner.equals(va) ? vb : va;
+
+      assertInstanceOf(Verdict.Accepted.class, winner);
+      Verdict.Refused refused = assertInstanceOf(Verdict.Refused.class, loser);
+      assertEquals(
+          "builds on note open, but note " + winner.note() + " changed it first",
+          refused.reasons().getFirst().message());
+    }
+
+    @Test
+    void aLostAnswerToTheAppendDoesNotDoubleTheNote() {
+      deployment.log().loseAnswers(1);
+
+      Publisher.Published published = deployment.publish("a", change("a", 1_000));
+
+      assertInstanceOf(
+          Verdict.Accepted.class,
+          assertInstanceOf(Publisher.Published.Judged.class, published).verdict());
+    }
+
+    @Test
+    void aNoteThatCannotBePublishedIsReportedSo() {
+      deployment.log().setDown(true);
+
+      assertInstanceOf(
+          Publisher.Published.NotPublished.class, deployment.publish("a", change("a", 1_000)));
+    }
+  }
+}
