--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Ejection.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Ejection.java
@@ -6,9 +6,9 @@
  * Takes servers that fail out of use for a while.
  *
  * <p>A server that fails fast looks idle, so failures count by themselves. Invariant: at most a
- * third of a service's servers are ejected at once. Each further ejection lasts twice as long.
- * After an ejection one call at a time tries the server until one succeeds. Stateless and safe for
- * use by several threads.
+ * third of a service's servers, or one of two, are ejected at once. Each further ejection lasts
+ * twice as long. After an ejection one call at a time tries the server until one succeeds.
+ * Stateless and safe for use by several threads.
  */
 public final class Ejection {
 
@@ -53,6 +53,7 @@
 
   private static boolean mayEject(List<Server> servers, long nowNanos) {
     long ejected = servers.stream().filter(server -> server.stats().ejected(nowNanos)).count();
-    return ejected + 1 <= servers.size() * MAX_EJECTED_SHARE;
+    long most = Math.max(1, (long) (servers.size() * MAX_EJECTED_SHARE));
+    return servers.size() > 1 && ejected < most;
   }
 }
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PickerTests.java
@@ -0,0 +1,95 @@
+package org.amaranthmoor.balance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.ZoneName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PickerTests {
+
+  private static final long MILLI = 1_000_000L;
+
+  private final List<Server> servers = Servers.servers(3);
+  private final Picker picker = new Picker(new PickPolicy.HotCold(6, MILLI), new ZoneName("z0"));
+
+  private Optional<Server> pick(Set<Server> tried) {
+    return picker.pick(servers, tried, Servers.NOW, new SplittableRandom(1));
+  }
+
+  @Test
+  void picksNothingIfAllWereTried() {
+    assertEquals(Optional.empty(), pick(new HashSet<>(servers)));
+  }
+
+  @Test
+  void neverPicksAServerThatDrains() {
+    servers
+        .subList(0, 2)
+        .forEach(
+            server -> server.stats().onReport(new LoadReport(0, 0, 6, MILLI, true), Servers.NOW));
+
+    assertEquals(Optional.of(servers.get(2)), pick(Set.of()));
+  }
+
+  @Test
+  void usesAnEjectedServerIfNoOtherIsLeft() {
+    Servers.fail(servers, servers.getFirst(), 20);
+
+    assertNotEquals(Optional.of(servers.getFirst()), pick(Set.of()));
+    assertEquals(Optional.of(servers.getFirst()), pick(Set.of(servers.get(1), servers.get(2))));
+  }
+
+  @Nested
+  class HotCold {
+
+    @Test
+    void prefersTheFasterOfTwoColdServers() {
+      Servers.answer(servers.get(0), 9 * MILLI, 0);
+      Servers.answer(servers.get(1), 3 * MILLI, 0);
+      Servers.answer(servers.get(2), 9 * MILLI, 0);
+
+      assertEquals(Optional.of(servers.get(1)), pick(Set.of()));
+    }
+
+    @Test
+    void passesOverAFastServerWithoutAFreeSlot() {
+      Servers.answer(servers.get(0), 9 * MILLI, 0);
+      Servers.answer(servers.get(1), 3 * MILLI, Servers.SLOTS);
+      Servers.answer(servers.get(2), 19 * MILLI, 0);
+
+      assertEquals(Optional.of(servers.get(0)), pick(Set.of()));
+    }
+
+    @Test
+    void prefersItsOwnZoneAmongEquals() {
+      servers.forEach(server -> Servers.answer(server, 5 * MILLI, 1));
+
+      assertEquals(Optional.of(servers.get(0)), pick(Set.of()));
+    }
+
+    @Test
+    void leavesItsOwnZoneUnderLoad() {
+      Servers.answer(servers.get(0), 5 * MILLI, 5);
+      Servers.answer(servers.get(1), 5 * MILLI, 0);
+      Servers.answer(servers.get(2), 5 * MILLI, 0);
+
+      assertNotEquals(Optional.of(servers.get(0)), pick(Set.of()));
+    }
+
+    @Test
+    void aSilentServerWithCallsInFlightLooksSlow() {
+      servers.forEach(server -> Servers.answer(server, 5 * MILLI, 0));
+      servers.get(0).stats().onStart(Servers.NOW - 1_000 * MILLI);
+
+      assertNotEquals(Optional.of(servers.get(0)), pick(Set.of()));
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/RetryPolicyTests.java
@@ -0,0 +1,89 @@
+package org.amaranthmoor.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class RetryPolicyTests {
+
+  private static RetryPolicy.Facts facts(boolean idempotent) {
+    return new RetryPolicy.Facts(idempotent, true, 1, 0, 1_000, false, 2);
+  }
+
+  private static RetryBudget budget() {
+    return new RetryBudget(0.1, 10);
+  }
+
+  private static Outcome<?> outcome(ResultCode code) {
+    return switch (code.kind()) {
+      case NOT_RUN, INVALID -> new Outcome.NotRun<>(code, 0, "");
+      case UNKNOWN -> new Outcome.Unknown<>(code, "");
+      case ANSWERED -> new Outcome.Answered<>("answer");
+    };
+  }
+
+  @ParameterizedTest
+  @EnumSource(ResultCode.class)
+  void aRequestThatMayHaveRunIsNeverRepeatedUnlessIdempotent(ResultCode code) {
+    boolean mayHaveRun = code.kind() != ResultCode.Kind.NOT_RUN;
+
+    if (mayHaveRun) {
+      assertFalse(RetryPolicy.retries(outcome(code), facts(false), budget()), code.toString());
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "OVERLOADED, true",
+    "DRAINING, true",
+    "NODE_UNREACHABLE, true",
+    "TARGET_UNREACHABLE, true",
+    "FENCED, true",
+    "DEADLINE_BEFORE_START, false",
+    "CANCELLED, false",
+    "KEY_LEDGER_FULL, false",
+    "NO_RULE, false",
+    "LINK_LOST, true",
+    "DEADLINE_AFTER_START, false",
+    "KEY_IN_PROGRESS, false"
+  })
+  void anIdempotentRequestIsRepeatedWhereAnotherServerMayDoBetter(
+      ResultCode code, boolean repeated) {
+    assertEquals(repeated, RetryPolicy.retries(outcome(code), facts(true), budget()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "false, 1, 0, 1000, 2",
+    "true, 3, 0, 1000, 2",
+    "true, 1, 1, 1000, 2",
+    "true, 1, 0, 0, 2",
+    "true, 1, 0, 1000, 0"
+  })
+  void nothingIsRepeatedWithoutRoom(
+      boolean replayable, int attempts, int inherited, long nanosLeft, int untried) {
+    RetryPolicy.Facts facts =
+        new RetryPolicy.Facts(true, replayable, attempts, inherited, nanosLeft, false, untried);
+
+    assertFalse(RetryPolicy.retries(outcome(ResultCode.OVERLOADED), facts, budget()));
+  }
+
+  @Test
+  void retriesAreAtMostTheShareOfFirstAttemptsAndTheBurst() {
+    RetryBudget budget = new RetryBudget(0.1, 10);
+    int retries = 0;
+    for (int i = 0; i < 10_000; i++) {
+      budget.onFirstAttempt();
+      retries += budget.tryRetry() ? 1 : 0;
+    }
+
+    assertTrue(retries <= 1_010, "retries " + retries);
+  }
+}
