--- a/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/Main.java
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/Main.java
@@ -54,6 +54,7 @@
             .withCommand(PlatformStandInCommand.class)
             .withCommand(TargetStandInCommand.class)
             .withCommand(LoadCommand.class)
+            .withCommand(PolicyLabCommand.class)
             .withCommand(RandomRunCommand.class);
     builder
         .withGroup("report")
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/Kind.java
@@ -0,0 +1,51 @@
+package org.amaranthmoor.testkit.lab;
+
+import java.util.List;
+import org.amaranthmoor.model.Priority;
+
+/**
+ * A kind of call in the lab.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param name the name in reports
+ * @param priority its priority
+ * @param idempotent whether it may be run again
+ * @param serviceNanos mean time at an undisturbed server
+ * @param deadlineNanos time its caller waits
+ * @param weight how often it is made
+ */
+record Kind(
+    String name,
+    Priority priority,
+    boolean idempotent,
+    long serviceNanos,
+    long deadlineNanos,
+    int weight) {
+
+  private static final long MILLI = 1_000_000L;
+
+  static List<Kind> usual() {
+    return List.of(
+        new Kind("browse", Priority.BROWSE, true, 8 * MILLI, 1_500 * MILLI, 14),
+        new Kind("order", Priority.CRITICAL, false, 15 * MILLI, 3_000 * MILLI, 4),
+        new Kind("upload", Priority.CRITICAL, true, 60 * MILLI, 30_000 * MILLI, 1));
+  }
+
+  static List<Kind> recoveryFlight() {
+    return List.of(
+        new Kind("browse", Priority.BROWSE, true, 8 * MILLI, 1_500 * MILLI, 10),
+        new Kind("order", Priority.CRITICAL, false, 15 * MILLI, 3_000 * MILLI, 4),
+        new Kind("upload", Priority.CRITICAL, true, 300 * MILLI, 60_000 * MILLI, 2));
+  }
+
+  static double meanServiceNanos(List<Kind> kinds) {
+    double sum = 0;
+    int weights = 0;
+    for (Kind kind : kinds) {
+      sum += (double) kind.serviceNanos() * kind.weight();
+      weights += kind.weight();
+    }
+    return sum / weights;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabRun.java
@@ -0,0 +1,397 @@
+package org.amaranthmoor.testkit.lab;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.amaranthmoor.balance.Ejection;
+import org.amaranthmoor.balance.Picker;
+import org.amaranthmoor.balance.ProbePlanner;
+import org.amaranthmoor.balance.Server;
+import org.amaranthmoor.balance.ServerStats;
+import org.amaranthmoor.caller.RetryBudget;
+import org.amaranthmoor.caller.RetryPolicy;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TargetName;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.Admission.Decision;
+
+/**
+ * One case under one policy.
+ *
+ * <p>Each server has an entry side beside it, and callers reach any of them with equal chance.
+ * Arrivals are open: they do not wait for answers. Arrivals, kinds and work depend on the seed
+ * alone, so that every policy meets the same. Confined to one thread.
+ */
+final class LabRun {
+
+  private static final int ZONES = 3;
+  private static final long SAME_ZONE_NANOS = 100_000L;
+  private static final long SECOND = 1_000_000_000L;
+  private static final int RETRY_BURST = 10;
+  private static final double RETRY_SHARE = 0.1;
+  private static final long CONNECT_FAILURE_NANOS = 1_000_000L;
+
+  private final LabCase labCase;
+  private final LabPolicy policy;
+  private final LabClock clock = new LabClock();
+  private final SplittableRandom arrivals;
+  private final SplittableRandom choices;
+  private final List<LabServer> servers = new ArrayList<>();
+  private final List<Entry> entries = new ArrayList<>();
+  private final LabResult result = new LabResult();
+
+  private static final class Entry {
+    private final int zone;
+    private final List<Server> servers;
+    private final Picker picker;
+    private final ProbePlanner probes;
+    private final RetryBudget budget = new RetryBudget(RETRY_SHARE, RETRY_BURST);
+
+    Entry(int zone, List<Server> servers, Picker picker, ProbePlanner probes) {
+      this.zone = zone;
+      this.servers = servers;
+      this.picker = picker;
+      this.probes = probes;
+    }
+  }
+
+  private static final class Call {
+    private final Kind kind;
+    private final long workNanos;
+    private final long startNanos;
+    private final long deadlineNanos;
+    private final Entry entry;
+    private final Set<Server> tried = new HashSet<>();
+    private int attempts;
+    private boolean ended;
+
+    Call(Kind kind, long workNanos, long startNanos, Entry entry) {
+      this.kind = kind;
+      this.workNanos = workNanos;
+      this.startNanos = startNanos;
+      this.deadlineNanos = startNanos + kind.deadlineNanos();
+      this.entry = entry;
+    }
+  }
+
+  private LabRun(LabCase labCase, LabPolicy policy, long seed) {
+    this.labCase = labCase;
+    this.policy = policy;
+    this.arrivals = new SplittableRandom(seed);
+    this.choices = new SplittableRandom(seed + 1);
+    for (int i = 0; i < labCase.site().servers(); i++) {
+      servers.add(
+          new LabServer(i, labCase.site().slots(), labCase.disturbances(), choices.split()));
+    }
+    for (int i = 0; i < labCase.site().servers(); i++) {
+      entries.add(entry(i % ZONES));
+    }
+  }
+
+  static LabResult run(LabCase labCase, LabPolicy policy, long seed) {
+    LabRun run = new LabRun(labCase, policy, seed);
+    run.clock.at(0, run::arrive);
+    run.clock.runAll();
+    return run.result;
+  }
+
+  private Entry entry(int zone) {
+    List<Server> views = new ArrayList<>();
+    for (LabServer server : servers) {
+      views.add(
+          new Server(
+              new NodeName("n" + server.index),
+              new Incarnation(1),
+              new TargetName("t" + server.index),
+              new ZoneName("z" + server.index % ZONES),
+              "127.0.0.1",
+              1,
+              labCase.site().slots(),
+              new ServerStats(-10 * SECOND)));
+    }
+    Picker picker =
+        policy instanceof LabPolicy.Real real
+            ? new Picker(real.policy(), new ZoneName("z" + zone))
+            : null;
+    return new Entry(zone, views, picker, new ProbePlanner(labCase.site().probesPerSecond(), 0));
+  }
+
+  private void arrive() {
+    long now = clock.nanos();
+    if (now >= labCase.seconds() * SECOND) {
+      return;
+    }
+    Kind kind = drawKind();
+    // Between a constant and an exponential share, so that work varies by a factor of a few.
+    double factor = 0.5 - 0.5 * Math.log(1 - arrivals.nextDouble());
+    Entry entry = entries.get(arrivals.nextInt(entries.size()));
+    Call call = new Call(kind, (long) (kind.serviceNanos() * factor), now, entry);
+    count(call);
+    clock.after(labCase.site().clientNanos(), () -> begin(call));
+    double perSecond = offeredLoad(now) * capacityPerSecond();
+    double gap = -Math.log(1 - arrivals.nextDouble()) / perSecond;
+    clock.after((long) (gap * SECOND), this::arrive);
+  }
+
+  private void count(Call call) {
+    result.calls++;
+    result.workOfferedNanos += call.kind.serviceNanos();
+    if (call.kind.priority() == Priority.CRITICAL) {
+      result.criticalCalls++;
+    }
+    if (call.kind.name().equals("upload")) {
+      result.uploads++;
+    }
+  }
+
+  private double offeredLoad(long now) {
+    boolean rush =
+        now >= LabCase.RUSH_START_NANOS && now < LabCase.RUSH_START_NANOS + labCase.rushNanos();
+    return rush ? labCase.rushLoad() : labCase.load();
+  }
+
+  private double capacityPerSecond() {
+    int slots = labCase.site().servers() * labCase.site().slots();
+    return slots * SECOND / Kind.meanServiceNanos(labCase.kinds());
+  }
+
+  private Kind drawKind() {
+    int total = labCase.kinds().stream().mapToInt(Kind::weight).sum();
+    int drawn = arrivals.nextInt(total);
+    for (Kind kind : labCase.kinds()) {
+      drawn -= kind.weight();
+      if (drawn < 0) {
+        return kind;
+      }
+    }
+    return labCase.kinds().getFirst();
+  }
+
+  private void begin(Call call) {
+    call.entry.budget.onFirstAttempt();
+    clock.at(call.deadlineNanos, () -> timeOut(call));
+    attempt(call);
+  }
+
+  private void timeOut(Call call) {
+    if (!call.ended) {
+      call.ended = true;
+      result.unknown++;
+    }
+  }
+
+  private void attempt(Call call) {
+    Optional<Server> picked = pick(call);
+    if (picked.isEmpty()) {
+      end(call);
+      return;
+    }
+    Server view = picked.get();
+    LabServer server = servers.get(call.entry.servers.indexOf(view));
+    call.tried.add(view);
+    call.attempts++;
+    result.attempts++;
+    long sentNanos = clock.nanos();
+    view.stats().onStart(sentNanos);
+    probe(call.entry);
+    if (server.has(Disturbance.Effect.UNREACHABLE, sentNanos)) {
+      clock.after(
+          CONNECT_FAILURE_NANOS,
+          () -> learn(call, view, new Outcome.NotRun<>(ResultCode.NODE_UNREACHABLE, 0, "")));
+      return;
+    }
+    long oneWay = oneWayNanos(call.entry, server);
+    clock.after(oneWay, () -> offer(call, view, server, sentNanos));
+  }
+
+  private Optional<Server> pick(Call call) {
+    long now = clock.nanos();
+    if (policy instanceof LabPolicy.Oracle) {
+      return pickBest(call, now);
+    }
+    return call.entry.picker.pick(call.entry.servers, call.tried, now, choices);
+  }
+
+  private Optional<Server> pickBest(Call call, long now) {
+    Server best = null;
+    double bestNanos = Double.MAX_VALUE;
+    for (LabServer server : servers) {
+      Server view = call.entry.servers.get(server.index);
+      boolean usable =
+          !call.tried.contains(view)
+              && !server.has(Disturbance.Effect.UNREACHABLE, now)
+              && !server.has(Disturbance.Effect.FAILS_FAST, now)
+              && !server.has(Disturbance.Effect.DRAINING, now);
+      double nanos = exactNanos(call, server, now);
+      if (usable && nanos < bestNanos) {
+        best = view;
+        bestNanos = nanos;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private double exactNanos(Call call, LabServer server, long now) {
+    LoadReport load = server.admission.load();
+    double mean = Kind.meanServiceNanos(labCase.kinds());
+    double waiting = Math.max(0, load.occupancy() + 1 - load.slots()) * mean / load.slots();
+    long work = (long) (call.workNanos + waiting);
+    return 2.0 * oneWayNanos(call.entry, server) + server.finishNanos(now, work) - now;
+  }
+
+  private long oneWayNanos(Entry entry, LabServer server) {
+    return entry.zone == server.index % ZONES ? SAME_ZONE_NANOS : labCase.site().zoneNanos();
+  }
+
+  private void probe(Entry entry) {
+    if (!(policy instanceof LabPolicy.Real)) {
+      return;
+    }
+    entry
+        .probes
+        .plan(entry.servers, clock.nanos(), choices)
+        .ifPresent(
+            view -> {
+              result.probes++;
+              LabServer server = servers.get(entry.servers.indexOf(view));
+              long oneWay = oneWayNanos(entry, server);
+              clock.after(oneWay, () -> report(view, server.admission.load(), oneWay));
+            });
+  }
+
+  private void report(Server view, LoadReport load, long oneWay) {
+    if (choices.nextDouble() >= labCase.reportsLost()) {
+      clock.after(oneWay, () -> view.stats().onReport(load, clock.nanos()));
+    }
+  }
+
+  private void offer(Call call, Server view, LabServer server, long sentNanos) {
+    long now = clock.nanos();
+    server.drainIfDue(now);
+    SlotWaiter waiter = new SlotWaiter(call, view, server, sentNanos);
+    switch (server.admission.offer(waiter, now)) {
+      case Decision.Admitted admitted -> waiter.admitted();
+      case Decision.Refused refused -> waiter.refused(refused);
+      case Decision.Queued queued -> {}
+    }
+  }
+
+  private final class SlotWaiter implements Admission.Waiter {
+    private final Call call;
+    private final Server view;
+    private final LabServer server;
+    private final long sentNanos;
+
+    SlotWaiter(Call call, Server view, LabServer server, long sentNanos) {
+      this.call = call;
+      this.view = view;
+      this.server = server;
+      this.sentNanos = sentNanos;
+    }
+
+    @Override
+    public Priority priority() {
+      return call.kind.priority();
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return call.deadlineNanos - labCase.site().clientNanos();
+    }
+
+    @Override
+    public void admitted() {
+      long now = clock.nanos();
+      boolean failsFast = server.has(Disturbance.Effect.FAILS_FAST, now);
+      long finish =
+          failsFast ? now + CONNECT_FAILURE_NANOS : server.finishNanos(now, call.workNanos);
+      clock.at(finish, () -> finished(now, failsFast));
+    }
+
+    private void finished(long startedNanos, boolean failsFast) {
+      long now = clock.nanos();
+      server.admission.release(now - startedNanos, now);
+      result.workNanos += call.workNanos;
+      if (call.ended) {
+        result.wastedNanos += call.workNanos;
+      }
+      LoadReport load = server.admission.load();
+      long oneWay = oneWayNanos(call.entry, server);
+      report(view, load, oneWay);
+      clock.after(oneWay, () -> onAnswer(call, view, sentNanos, failsFast));
+    }
+
+    @Override
+    public void refused(Decision.Refused refusal) {
+      LoadReport load = server.admission.load();
+      long oneWay = oneWayNanos(call.entry, server);
+      report(view, load, oneWay);
+      clock.after(
+          oneWay,
+          () ->
+              learn(
+                  call,
+                  view,
+                  new Outcome.NotRun<>(refusal.code(), refusal.retryAfterMillis(), "")));
+    }
+  }
+
+  private void onAnswer(Call call, Server view, long sentNanos, boolean failed) {
+    long now = clock.nanos();
+    view.stats().onFinish(now - sentNanos, failed, now);
+    Ejection.afterCall(call.entry.servers, view, failed, now);
+    if (call.ended) {
+      return;
+    }
+    call.ended = true;
+    if (failed) {
+      result.failed++;
+    } else {
+      long latency = now + labCase.site().clientNanos() - call.startNanos;
+      result.answered(call.kind, latency);
+    }
+  }
+
+  private void learn(Call call, Server view, Outcome.NotRun<?> notRun) {
+    long now = clock.nanos();
+    boolean failed = notRun.code() == ResultCode.NODE_UNREACHABLE;
+    view.stats().onAbandon(failed, now);
+    if (failed) {
+      Ejection.afterCall(call.entry.servers, view, true, now);
+    }
+    if (call.ended) {
+      return;
+    }
+    RetryPolicy.Facts facts =
+        new RetryPolicy.Facts(
+            call.kind.idempotent(),
+            true,
+            call.attempts,
+            0,
+            call.deadlineNanos - now,
+            false,
+            call.entry.servers.size() - call.tried.size());
+    if (RetryPolicy.retries(notRun, facts, call.entry.budget)) {
+      attempt(call);
+    } else {
+      end(call);
+    }
+  }
+
+  private void end(Call call) {
+    call.ended = true;
+    result.refused++;
+    if (call.kind.priority() == Priority.CRITICAL) {
+      result.refusedCritical++;
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabServer.java
@@ -0,0 +1,81 @@
+package org.amaranthmoor.testkit.lab;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.amaranthmoor.target.Admission;
+
+/**
+ * A target with its target side, whose speed follows the disturbances.
+ *
+ * <p>Confined to one thread.
+ */
+final class LabServer {
+
+  private static final int QUEUE = 64;
+  private static final double PER_FROZEN = 0;
+
+  final int index;
+  final Admission admission;
+  private final List<Disturbance> disturbances;
+  private boolean drained;
+
+  LabServer(int index, int slots, List<Disturbance> all, SplittableRandom random) {
+    this.index = index;
+    this.admission = new Admission(slots, QUEUE, random, 0);
+    this.disturbances = all.stream().filter(d -> d.server() == index).toList();
+  }
+
+  boolean has(Disturbance.Effect effect, long nanos) {
+    return disturbances.stream().anyMatch(d -> d.effect() == effect && d.covers(nanos));
+  }
+
+  /** Starts draining if that is due. */
+  void drainIfDue(long nanos) {
+    if (!drained && has(Disturbance.Effect.DRAINING, nanos)) {
+      drained = true;
+      admission.drain(nanos);
+    }
+  }
+
+  /** Returns when work that starts now is done, at the speeds of the times between. */
+  long finishNanos(long startNanos, long workNanos) {
+    long now = startNanos;
+    double left = workNanos;
+    while (true) {
+      double speed = speed(now);
+      long change = nextChange(now);
+      double possible = speed * (change - now);
+      if (change == Long.MAX_VALUE || possible >= left) {
+        return now + (long) Math.ceil(left / speed);
+      }
+      left -= possible;
+      now = change;
+    }
+  }
+
+  double speed(long nanos) {
+    double factor = 1;
+    for (Disturbance d : disturbances) {
+      if (d.covers(nanos) && d.effect() == Disturbance.Effect.FROZEN) {
+        return PER_FROZEN;
+      }
+      if (d.covers(nanos) && d.effect() == Disturbance.Effect.SLOW) {
+        factor = Math.max(factor, d.slowFactor());
+      }
+    }
+    return 1 / factor;
+  }
+
+  private long nextChange(long nanos) {
+    long next = Long.MAX_VALUE;
+    for (Disturbance d : disturbances) {
+      if (d.fromNanos() > nanos) {
+        next = Math.min(next, d.fromNanos());
+      }
+      if (d.toNanos() > nanos) {
+        next = Math.min(next, d.toNanos());
+      }
+    }
+    return next;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/PolicyLab.java
@@ -0,0 +1,187 @@
+package org.amaranthmoor.testkit.lab;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+
+/**
+ * Runs all cases under all policies and reports.
+ *
+ * <p>Used by one thread.
+ */
+public final class PolicyLab {
+
+  private static final String OURS = "hot-cold";
+  private static final double P99 = 99;
+  private static final double NOISE = 0.05;
+  private static final int PROBE_BYTES = 60;
+  private static final int CHART_WIDTH = 1_400;
+  private static final int CHART_HEIGHT = 700;
+
+  private final long seed;
+  private final List<Row> rows = new ArrayList<>();
+
+  private record Row(LabCase labCase, LabPolicy policy, LabResult result) {}
+
+  /**
+   * Creates a lab.
+   *
+   * @param seed the seed of arrivals and choices
+   */
+  public PolicyLab(long seed) {
+    this.seed = seed;
+  }
+
+  /** Runs everything, several cases at a time. */
+  public void run() {
+    List<LabCase> cases = new ArrayList<>();
+    for (Site site : List.of(Site.lending(), Site.booking(), Site.telemetry())) {
+      cases.addAll(LabCase.disturbed(site));
+    }
+    cases.addAll(LabCase.overload(Site.lending()));
+    rows.addAll(cases.parallelStream().flatMap(this::runCase).toList());
+  }
+
+  private Stream<Row> runCase(LabCase labCase) {
+    return LabPolicy.all(labCase.site()).stream()
+        .map(policy -> new Row(labCase, policy, LabRun.run(labCase, policy, seed)));
+  }
+
+  /** Renders the comparison as a table in Markdown. */
+  public String table() {
+    StringBuilder text = new StringBuilder();
+    text.append("seed ").append(seed).append("\n\n");
+    text.append(
+        "| site | case | policy | p50 ms | p99 ms | p99.9 ms | browse p99 ms | order p99 ms | in deadline | goodput of capacity | refused | refused critical | unknown | failed | wasted | attempts/call | probes/s/entry | probe B/call |\n");
+    text.append("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    rows.forEach(row -> text.append(line(row)));
+    return text.toString();
+  }
+
+  private static String line(Row row) {
+    LabResult r = row.result;
+    double seconds = row.labCase.seconds();
+    int entries = row.labCase.site().servers();
+    double capacity = entries * (double) row.labCase.site().slots() * seconds * 1e9;
+    return String.format(
+        Locale.ROOT,
+        "| %s | %s | %s | %.1f | %.1f | %.1f | %.1f | %.1f | %.4f | %.3f | %.4f | %.4f | %d | %d | %.4f | %.3f | %.2f | %.2f |%n",
+        row.labCase.site().name(),
+        row.labCase.name(),
+        row.policy.name(),
+        r.millis(50),
+        r.millis(99),
+        r.millis(99.9),
+        r.millis("browse", P99),
+        r.millis("order", P99),
+        (double) r.inDeadline / r.calls,
+        r.workInDeadlineNanos / capacity,
+        (double) r.refused / r.calls,
+        (double) r.refusedCritical / Math.max(1, r.criticalCalls),
+        r.unknown,
+        r.failed,
+        r.wastedNanos / Math.max(1, r.workNanos),
+        r.amplification(),
+        r.probes / seconds / entries,
+        (double) r.probes * PROBE_BYTES / r.calls);
+  }
+
+  /** Renders what the targets of the project say about the product's own policy. */
+  public String verdicts() {
+    StringBuilder text = new StringBuilder();
+    for (Row row : rows) {
+      if (row.policy.name().equals(OURS)) {
+        text.append(verdict(row));
+      }
+    }
+    return text.toString();
+  }
+
+  private String verdict(Row ours) {
+    LabResult oracle = find(ours.labCase, "oracle");
+    LabResult calm = findUndisturbedOracle(ours);
+    StringBuilder text = new StringBuilder();
+    for (String kind : List.of("browse", "order")) {
+      double own = ours.result.millis(kind, P99);
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "%-22s %-22s %-6s p99 %7.1f ms = %.2f of the oracle in the case, %.2f of the undisturbed oracle%s%n",
+              ours.labCase.site().name(),
+              ours.labCase.name(),
+              kind,
+              own,
+              own / oracle.millis(kind, P99),
+              own / calm.millis(kind, P99),
+              betterBaselines(ours, kind)));
+    }
+    return text.toString();
+  }
+
+  private String betterBaselines(Row ours, String kind) {
+    double own = ours.result.millis(kind, P99);
+    List<String> better = new ArrayList<>();
+    for (Row other : rows) {
+      boolean baseline =
+          other.labCase.equals(ours.labCase)
+              && !other.policy.name().equals("oracle")
+              && !other.policy.name().equals(OURS);
+      double ratio = other.result.millis(kind, P99) / own;
+      if (baseline && ratio < 1 - NOISE) {
+        better.add(String.format(Locale.ROOT, "%s (%.2f)", other.policy.name(), ratio));
+      }
+    }
+    return better.isEmpty() ? "" : "; loses to " + String.join(", ", better);
+  }
+
+  private LabResult find(LabCase labCase, String policy) {
+    return rows.stream()
+        .filter(row -> row.labCase.equals(labCase) && row.policy.name().equals(policy))
+        .findFirst()
+        .orElseThrow()
+        .result;
+  }
+
+  private LabResult findUndisturbedOracle(Row ours) {
+    return rows.stream()
+        .filter(row -> row.labCase.site().equals(ours.labCase.site()))
+        .filter(row -> row.labCase.name().equals("undisturbed"))
+        .filter(row -> row.policy.name().equals("oracle"))
+        .findFirst()
+        .orElseThrow()
+        .result;
+  }
+
+  /**
+   * Writes a plot of the tail latencies at one site.
+   *
+   * @param file the file without its ending
+   * @throws IOException if it cannot be written
+   */
+  public void plot(Path file) throws IOException {
+    Site site = Site.booking();
+    CategoryChart chart =
+        new CategoryChartBuilder()
+            .width(CHART_WIDTH)
+            .height(CHART_HEIGHT)
+            .title("p99 latency by case, " + site.name())
+            .xAxisTitle("case")
+            .yAxisTitle("p99 in ms")
+            .build();
+    chart.getStyler().setXAxisLabelRotation(60);
+    List<LabCase> cases =
+        rows.stream().map(Row::labCase).filter(c -> c.site().equals(site)).distinct().toList();
+    for (LabPolicy policy : LabPolicy.all(site)) {
+      List<Double> values =
+          cases.stream().map(labCase -> find(labCase, policy.name()).millis(99)).toList();
+      chart.addSeries(policy.name(), cases.stream().map(LabCase::name).toList(), values);
+    }
+    BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+}
