Pick by occupancy with smoothed reports; count a server as slow only well beyond others

Cause: the rule compared latencies of servers, which differ more by the kinds of calls that happened to be answered last than by the servers; and the occupancy of a single report is as old as a request lasts, so it is mostly noise. Ruled out: the herd on the least loaded server (drawing fewer servers was not tried); ejection (no failures in these cases). Change: cost = turns to wait * usual latency * slowness + zone penalty, where others' requests are smoothed over reports, own ones are exact, and slowness counts only beyond twice the median.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
@@ -17,6 +17,8 @@
  */
 public final class Picker {
 
+  private static final double SLOW_FACTOR = 2;
+
   private final PickPolicy policy;
   private final ZoneName ownZone;
   private final AtomicInteger turn = new AtomicInteger();
@@ -82,26 +84,26 @@
   private Server pickHotCold(
       PickPolicy.HotCold policy, List<Server> candidates, long nowNanos, RandomGenerator random) {
     List<Server> drawn = draw(candidates, policy.drawn(), random);
-    List<Server> cold = new ArrayList<>(drawn.size());
-    for (Server server : drawn) {
-      if (server.stats().occupancy(nowNanos) < WarmUp.slots(server, nowNanos)) {
-        cold.add(server);
-      }
-    }
-    if (cold.isEmpty()) {
-      return least(drawn, random, server -> wait(server, policy, nowNanos));
-    }
-    return least(cold, random, server -> expectedLatency(server, policy, nowNanos));
+    double usualNanos = medianLatencyNanos(drawn, nowNanos);
+    return least(drawn, random, server -> expectedLatency(server, policy, usualNanos, nowNanos));
+  }
+
+  private double expectedLatency(
+      Server server, PickPolicy.HotCold policy, double usualNanos, long nowNanos) {
+    double turns = (1 + server.stats().occupancy(nowNanos)) / WarmUp.slots(server, nowNanos);
+    double slowness = slowness(server.stats().latencyNanos(nowNanos), usualNanos);
+    return turns * slowness * usualNanos + zonePenalty(server, policy);
   }
 
-  private double expectedLatency(Server server, PickPolicy.HotCold policy, long nowNanos) {
-    double share = (double) server.stats().occupancy(nowNanos) / WarmUp.slots(server, nowNanos);
-    return server.stats().latencyNanos(nowNanos) * (1 + share) + zonePenalty(server, policy);
+  // Latencies differ by the kinds of calls too, so a server counts as slow only well beyond others.
+  private static double slowness(double nanos, double usualNanos) {
+    return nanos > SLOW_FACTOR * usualNanos ? nanos / usualNanos : 1;
   }
 
-  private double wait(Server server, PickPolicy.HotCold policy, long nowNanos) {
-    double turns = (1.0 + server.stats().occupancy(nowNanos)) / WarmUp.slots(server, nowNanos);
-    return turns * server.stats().latencyNanos(nowNanos) + zonePenalty(server, policy);
+  private static double medianLatencyNanos(List<Server> servers, long nowNanos) {
+    double[] sorted =
+        servers.stream().mapToDouble(s -> s.stats().latencyNanos(nowNanos)).sorted().toArray();
+    return Math.max(1, sorted[(sorted.length - 1) / 2]);
   }
 
   private double zonePenalty(Server server, PickPolicy.HotCold policy) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -8,9 +8,9 @@
 /**
  * What one entry side knows about the load and the health of one server.
  *
- * <p>Reports are stale when they arrive, so each is corrected by the calls this entry side started
- * and finished since. Times are monotonic nanoseconds given by the caller. Safe for use by several
- * threads; lock-free.
+ * <p>Reports are stale when they arrive, so they only add what other entry sides have in flight to
+ * this one's own exact count. Times are monotonic nanoseconds given by the caller. Safe for use by
+ * several threads; lock-free.
  */
 public final class ServerStats {
 
@@ -19,12 +19,15 @@
 
   private static final double LATENCY_WEIGHT = 0.2;
   private static final double FAILURE_WEIGHT = 0.15;
+  private static final double OTHERS_WEIGHT = 0.3;
 
   private final long firstSeenNanos;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicReference<StampedReport> report = new AtomicReference<>();
   private final AtomicLong latencyBits = new AtomicLong(Double.doubleToLongBits(0));
   private final AtomicLong failureBits = new AtomicLong(Double.doubleToLongBits(0));
+  // Smoothed requests that other entry sides have at the server.
+  private final AtomicLong othersBits = new AtomicLong(Double.doubleToLongBits(0));
   private final AtomicLong finished = new AtomicLong();
   // Time of the last answer, or of the start of the first call in flight if that is later.
   private final AtomicLong progressNanos;
@@ -41,7 +44,7 @@
     this.progressNanos = new AtomicLong(nowNanos);
   }
 
-  private record StampedReport(LoadReport load, int ownInFlight, long atNanos) {}
+  private record StampedReport(LoadReport load, long atNanos) {}
 
   /**
    * Counts a call that starts.
@@ -93,7 +96,9 @@
    * @param nowNanos the time it arrived
    */
   public void onReport(LoadReport load, long nowNanos) {
-    report.set(new StampedReport(load, inFlight.get(), nowNanos));
+    int own = inFlight.get();
+    smooth(othersBits, Math.max(0, load.occupancy() - own), OTHERS_WEIGHT, false);
+    report.set(new StampedReport(load, nowNanos));
   }
 
   /** Returns the calls that this entry side has in flight at the server. */
@@ -109,16 +114,16 @@
   /**
    * Estimates the requests in flight and queued at the server.
    *
+   * <p>The calls of this entry side are counted exactly. Those of others are known from reports
+   * that are as old as a request lasts, so they are smoothed.
+   *
    * @param nowNanos the current time
    * @return the estimate, at least the calls this entry side has in flight there
    */
-  public int occupancy(long nowNanos) {
-    StampedReport last = report.get();
+  public double occupancy(long nowNanos) {
     int own = inFlight.get();
-    if (last == null || nowNanos - last.atNanos > MAX_REPORT_AGE_NANOS) {
-      return own;
-    }
-    return Math.max(own, last.load.occupancy() + own - last.ownInFlight);
+    boolean stale = reportAgeNanos(nowNanos) > MAX_REPORT_AGE_NANOS;
+    return stale ? own : own + Double.longBitsToDouble(othersBits.get());
   }
 
   /**
