Count own calls in flight three times

Cause: while a server slows suddenly, the calls stuck there are the only fresh sign, and one more of them moved the cost by a fifth only.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -20,6 +20,7 @@
   private static final double LATENCY_WEIGHT = 0.2;
   private static final double FAILURE_WEIGHT = 0.15;
   private static final double OTHERS_WEIGHT = 0.3;
+  private static final double OWN_FACTOR = 3;
 
   private final long firstSeenNanos;
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -123,7 +124,7 @@
   public double occupancy(long nowNanos) {
     int own = inFlight.get();
     boolean stale = reportAgeNanos(nowNanos) > MAX_REPORT_AGE_NANOS;
-    return stale ? own : own + Double.longBitsToDouble(othersBits.get());
+    return stale ? own : OWN_FACTOR * own + Double.longBitsToDouble(othersBits.get());
   }
 
   /**
