--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -21,6 +21,7 @@
   private static final double FAILURE_WEIGHT = 0.15;
   private static final double OTHERS_WEIGHT = 0.3;
   private static final double OWN_FACTOR = 3;
+  private static final double FORGET_NANOS = 200_000_000;
 
   private final long firstSeenNanos;
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -166,10 +167,13 @@
    */
   public double latencyNanos(long nowNanos) {
     double smoothed = Double.longBitsToDouble(latencyBits.get());
+    double silentNanos = nowNanos - progressNanos.get();
     if (inFlight.get() == 0) {
-      return smoothed;
+      // What was measured long ago says less and less, so that a server that was slow is tried
+      // again.
+      return smoothed * Math.exp(-silentNanos / FORGET_NANOS);
     }
-    return Math.max(smoothed, (double) (nowNanos - progressNanos.get()));
+    return Math.max(smoothed, silentNanos);
   }
 
   /** Returns the smoothed share of calls that failed, from 0 to 1. */
