Measure a server's speed by its own report, without the wait in its queue

Cause: slowness was read off whole latencies, which include the wait in the queue; the occupancy counts that wait already, so a full queue counted twice and a server at 1.5 times its capacity was taken for a slow one.

--- /dev/null
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/CapacityCommand.java
@@ -0,0 +1,33 @@
+package org.amaranthmoor.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import java.util.List;
+import java.util.stream.Stream;
+import org.amaranthmoor.testkit.capacity.CapacityReport;
+
+/** Measures how the parts grow with the size of the system. */
+@com.github.rvesse.airline.annotations.Command(
+    name = "capacity",
+    description = "Measures membership, fold and checkpoints at several sizes")
+public final class CapacityCommand implements Command {
+
+  @Option(name = "--sizes", description = "Numbers of nodes, separated by commas")
+  private String sizes = "100,400,1600,6800";
+
+  /** Creates the command. */
+  public CapacityCommand() {}
+
+  @Override
+  public int run() throws Exception {
+    List<Integer> numbers;
+    try {
+      numbers = Stream.of(sizes.split(",", -1)).map(Integer::valueOf).toList();
+    } catch (NumberFormatException e) {
+      throw new Input.BadInputException(
+          "--sizes: expected whole numbers separated by commas, but found: " + sizes);
+    }
+    System.out.println(CapacityReport.state(numbers));
+    System.out.println(CapacityReport.gossip(numbers));
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/amaranthmoor-cli/src/test/java/org/amaranthmoor/cli/OutputTests.java
@@ -0,0 +1,186 @@
+package org.amaranthmoor.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.amaranthmoor.config.ServiceSpec;
+import org.amaranthmoor.daemon.operator.StatusView;
+import org.amaranthmoor.model.NoteId;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.report.BurnReport;
+import org.amaranthmoor.report.CallCounts;
+import org.approvaltests.Approvals;
+import org.approvaltests.core.Options;
+import org.approvaltests.reporters.QuietReporter;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class OutputTests {
+
+  @TempDir private Path folder;
+
+  private static void verify(String text) {
+    Approvals.verify(text, new Options().withReporter(QuietReporter.INSTANCE));
+  }
+
+  private String run(String... arguments) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    PrintStream before = System.out;
+    PrintStream beforeErr = System.err;
+    int code;
+    try (PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8)) {
+      System.setOut(out);
+      System.setErr(out);
+      code = Main.run(arguments);
+    } finally {
+      System.setOut(before);
+      System.setErr(beforeErr);
+    }
+    String text = bytes.toString(StandardCharsets.UTF_8).replace(folder + "/", "");
+    return text + "exit code " + code + "\n";
+  }
+
+  private String file(String name, String... lines) throws IOException {
+    Path file = folder.resolve(name);
+    Files.writeString(file, String.join("\n", lines) + "\n");
+    return file.toString();
+  }
+
+  @Test
+  void helpListsTheCommands() {
+    verify(run("help"));
+  }
+
+  @Test
+  void anUnknownOptionIsRefused() {
+    verify(run("status", "--nodes", "127.0.0.1:1"));
+  }
+
+  @Test
+  void everyMistakeInSettingsIsNamedWithItsLine() throws IOException {
+    verify(
+        run(
+            "check-settings",
+            file(
+                "node.yaml",
+                "node: bad name!",
+                "zonee: kochi",
+                "region: kerala",
+                "host: localhost",
+                "caller-port: 80000",
+                "node-port: 7001",
+                "admin-port: 7001",
+                "platform: 127.0.0.1",
+                "peers: [127.0.0.1:7000, here]",
+                "target:",
+                "  name: lending-1",
+                "  address: 127.0.0.1:9000",
+                "  slots: many")));
+  }
+
+  @Test
+  void validSettingsAreSaidToBeValid() throws IOException {
+    verify(
+        run(
+            "check-settings",
+            file(
+                "node.yaml",
+                "node: n1",
+                "zone: kochi",
+                "region: kerala",
+                "host: 127.0.0.1",
+                "caller-port: 7000",
+                "node-port: 7001",
+                "admin-port: 7002",
+                "platform: 127.0.0.1:8000",
+                "target:",
+                "  name: lending-1",
+                "  address: 127.0.0.1:9000")));
+  }
+
+  @Test
+  void everyMistakeInANoteIsNamedWithItsLine() throws IOException {
+    verify(
+        run(
+            "check",
+            file(
+                "note.yaml",
+                "format: 1",
+                "note: n",
+                "services:",
+                "  - add: lending",
+                "    availability: 2",
+                "    wiegh: cost",
+                "rules:",
+                "  - add: r",
+                "    service: lending",
+                "    path-prefix: lending",
+                "    calls:",
+                "      - methods: [FETCH]",
+                "        priority: urgent")));
+  }
+
+  @Test
+  void aMissingFileIsNamed() {
+    verify(run("check", folder + "/none.yaml"));
+  }
+
+  @Test
+  void statusShowsNotesServicesAndNodes() {
+    StatusView view =
+        new StatusView(
+            "n1",
+            7,
+            false,
+            List.of(
+                new StatusView.NoteStatus(
+                    "b",
+                    6,
+                    "refused",
+                    List.of(
+                        "line 4: service lending: builds on note open, but note a changed it first (604 CONFLICT)"),
+                    2,
+                    List.of()),
+                new StatusView.NoteStatus("a", 5, "accepted", List.of(), 1, List.of("n2"))),
+            List.of(
+                new StatusView.ServiceStatus(
+                    "lending",
+                    "a",
+                    List.of(
+                        new StatusView.TargetStatus("lending-1", "open", "n1", "kochi", "serving"),
+                        new StatusView.TargetStatus(
+                            "lending-2", "open", "", "", "not announced")))),
+            List.of(
+                new StatusView.NodeStatus("n1", "1", "kochi", 7, "abc", "alive", 3, 1),
+                new StatusView.NodeStatus("n2", "1", "kollam", -1, "", "suspect", 0, 0)),
+            new BurnReport(List.of()));
+
+    verify(view.render());
+  }
+
+  @Test
+  void burnShowsEachWindow() {
+    ServiceSpec spec =
+        new ServiceSpec(
+            new ServiceName("lending"),
+            new NoteId("open"),
+            0.999,
+            250,
+            0.99,
+            10_000,
+            ServiceSpec.Weighting.COST,
+            5,
+            0.1);
+    List<CallCounts.Window> windows =
+        List.of(
+            new CallCounts.Window(5, 1_000, 5, 20),
+            new CallCounts.Window(30, 10_000, 5, 20),
+            new CallCounts.Window(60, 0, 0, 0));
+
+    verify(new BurnReport(List.of(BurnReport.of(spec, windows))).render());
+  }
+}
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
@@ -84,25 +84,25 @@
   private Server pickHotCold(
       PickPolicy.HotCold policy, List<Server> candidates, long nowNanos, RandomGenerator random) {
     List<Server> drawn = draw(candidates, policy.drawn(), random);
-    double usualNanos = medianLatencyNanos(drawn, nowNanos);
+    double usualNanos = medianServiceNanos(drawn, nowNanos);
     return least(drawn, random, server -> expectedLatency(server, policy, usualNanos, nowNanos));
   }
 
   private double expectedLatency(
       Server server, PickPolicy.HotCold policy, double usualNanos, long nowNanos) {
     double turns = (1 + server.stats().occupancy(nowNanos)) / WarmUp.slots(server, nowNanos);
-    double slowness = slowness(server.stats().latencyNanos(nowNanos), usualNanos);
+    double slowness = slowness(server.stats().serviceNanos(nowNanos), usualNanos);
     return turns * slowness * usualNanos + zonePenalty(server, policy);
   }
 
-  // Latencies differ by the kinds of calls too, so a server counts as slow only well beyond others.
+  // Times differ by the kinds of calls too, so a server counts as slow only well beyond others.
   private static double slowness(double nanos, double usualNanos) {
     return nanos > SLOW_FACTOR * usualNanos ? nanos / usualNanos : 1;
   }
 
-  private static double medianLatencyNanos(List<Server> servers, long nowNanos) {
+  private static double medianServiceNanos(List<Server> servers, long nowNanos) {
     double[] sorted =
-        servers.stream().mapToDouble(s -> s.stats().latencyNanos(nowNanos)).sorted().toArray();
+        servers.stream().mapToDouble(s -> s.stats().serviceNanos(nowNanos)).sorted().toArray();
     return Math.max(1, sorted[(sorted.length - 1) / 2]);
   }
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -157,23 +157,26 @@
   }
 
   /**
-   * Estimates the latency of a call.
+   * Estimates how long the server takes for a request that has a slot.
    *
-   * <p>While calls are in flight and none is answered, the silence counts as a latency, so that a
-   * frozen server looks slow before its first late answer.
+   * <p>The server's own report leaves out the wait in its queue, which the occupancy shows already.
+   * While calls are in flight and none is answered, the silence counts, so that a frozen server
+   * looks slow before its first late answer.
    *
    * @param nowNanos the current time
    * @return the estimate in nanoseconds, 0 if nothing is known
    */
-  public double latencyNanos(long nowNanos) {
-    double smoothed = Double.longBitsToDouble(latencyBits.get());
+  public double serviceNanos(long nowNanos) {
+    StampedReport last = report.get();
+    double known =
+        last == null ? Double.longBitsToDouble(latencyBits.get()) : last.load.serviceTimeNanos();
     double silentNanos = nowNanos - progressNanos.get();
     if (inFlight.get() == 0) {
       // What was measured long ago says less and less, so that a server that was slow is tried
       // again.
-      return smoothed * Math.exp(-silentNanos / FORGET_NANOS);
+      return known * Math.exp(-silentNanos / FORGET_NANOS);
     }
-    return Math.max(smoothed, silentNanos);
+    return Math.max(known, silentNanos);
   }
 
   /** Returns the smoothed share of calls that failed, from 0 to 1. */
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/capacity/CapacityReport.java
@@ -0,0 +1,84 @@
+package org.amaranthmoor.testkit.capacity;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Measures at several sizes and prints tables in Markdown.
+ *
+ * <p>Used by one thread.
+ */
+public final class CapacityReport {
+
+  private static final int SETTLE_SECONDS = 5;
+  private static final int MEASURED_SECONDS = 20;
+  private static final double NODES_PER_SERVICE = 6_800.0 / 880;
+
+  private CapacityReport() {}
+
+  /**
+   * Measures membership.
+   *
+   * @param sizes numbers of nodes in the region
+   * @return a table
+   */
+  public static String gossip(List<Integer> sizes) {
+    StringBuilder text = new StringBuilder();
+    text.append(
+        "| nodes in region | bytes/s a node | messages/s a node | CPU of a core, % | leave known everywhere, s | failure known, s | a tenth of nodes fail: known, s | bytes/s a node then | false deaths |\n");
+    text.append("|---|---|---|---|---|---|---|---|---|\n");
+    sizes.forEach(size -> text.append(gossip(size)));
+    return text.toString();
+  }
+
+  private static String gossip(int size) {
+    GossipScale scale = new GossipScale(size);
+    scale.run(SETTLE_SECONDS);
+    GossipScale.Cost calm = scale.run(MEASURED_SECONDS);
+    double left = scale.secondsUntilLeft(0);
+    double dead = scale.secondsUntilDead(1, 1);
+    double zone = scale.secondsUntilDead(2, size / 10);
+    GossipScale.Cost after = scale.run(MEASURED_SECONDS);
+    return String.format(
+        Locale.ROOT,
+        "| %d | %.0f | %.2f | %.3f | %.1f | %.1f | %.1f | %.0f | %d |%n",
+        size,
+        calm.bytesPerSecond(),
+        calm.messagesPerSecond(),
+        calm.cpuShare() * 100,
+        left,
+        dead,
+        zone,
+        after.bytesPerSecond(),
+        scale.falselyDead());
+  }
+
+  /**
+   * Measures fold and checkpoints.
+   *
+   * @param sizes numbers of nodes in all
+   * @return a table
+   */
+  public static String state(List<Integer> sizes) {
+    StringBuilder text = new StringBuilder();
+    text.append(
+        "| nodes | services | checkpoint bytes | checkpoint ms | fold of a note, µs | fold of an announcement, µs |\n");
+    text.append("|---|---|---|---|---|---|\n");
+    for (int size : sizes) {
+      int services = (int) Math.max(1, Math.round(size / NODES_PER_SERVICE));
+      var warm = StateScale.measure(size, services);
+      StateScale.Cost cost = StateScale.measure(size, services);
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "| %d | %d | %d | %.1f | %.0f | %.0f |%n",
+              warm.nodes(),
+              cost.services(),
+              cost.checkpointBytes(),
+              cost.checkpointMillis(),
+              cost.foldMicrosPerNote(),
+              cost.foldMicrosPerJoin()));
+    }
+    return text.toString();
+  }
+}
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/PolicyLab.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/PolicyLab.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.stream.Stream;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.CategoryChart;
 import org.knowm.xchart.CategoryChartBuilder;
@@ -45,12 +44,16 @@
       cases.addAll(LabCase.disturbed(site));
     }
     cases.addAll(LabCase.overload(Site.lending()));
-    rows.addAll(cases.parallelStream().flatMap(this::runCase).toList());
+    List<Row> planned = new ArrayList<>();
+    for (LabCase labCase : cases) {
+      LabPolicy.all(labCase.site()).forEach(p -> planned.add(new Row(labCase, p, null)));
+    }
+    rows.addAll(planned.parallelStream().map(this::runRow).toList());
   }
 
-  private Stream<Row> runCase(LabCase labCase) {
-    return LabPolicy.all(labCase.site()).stream()
-        .map(policy -> new Row(labCase, policy, LabRun.run(labCase, policy, seed)));
+  private Row runRow(Row planned) {
+    LabResult result = LabRun.run(planned.labCase, planned.policy, seed);
+    return new Row(planned.labCase, planned.policy, result);
   }
 
   /** Renders the comparison as a table in Markdown. */
