Spread changes only once learnt by gossip; tell a woken member that it is believed gone

Cause 1: what every node learnt from the log at its start was queued for spreading too, so a change waited behind n others. Cause 2: deaths carried the address, and each change was sent 3 * log2(n) times. Cause 3: a member paused past its death was never told, because its death was no longer being spread. Change: states from the log or a whole view are not spread; gone members travel without their place, 16 states a message, 2 * log2(n) times; an ack to a member believed gone says so. A paused member stayed dead for ever (new test, red).

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
@@ -15,7 +15,7 @@
  */
 final class Dissemination {
 
-  private static final int FACTOR = 3;
+  private static final int FACTOR = 2;
 
   private final Map<NodeName, Integer> sent = new HashMap<>();
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/GossipTimings.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/GossipTimings.java
@@ -24,6 +24,6 @@
 
   /** Returns the timings that nodes use. */
   public static GossipTimings standard() {
-    return new GossipTimings(1_000 * MILLI, 300 * MILLI, 3_000 * MILLI, 30_000 * MILLI, 3, 6);
+    return new GossipTimings(1_000 * MILLI, 300 * MILLI, 3_000 * MILLI, 30_000 * MILLI, 3, 16);
   }
 }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
@@ -93,18 +93,37 @@
     return hash * 0x9E3779B97F4A7C15L;
   }
 
+  /** Writes the state; of a member that is gone only what tells that, because it is not called. */
   MemberState toMessage() {
-    return MemberState.newBuilder()
-        .setNode(node.value())
-        .setIncarnation(incarnation.value())
-        .setLiveness(toMessage(liveness))
-        .setHost(host)
-        .setPort(port)
-        .setZone(zone.value())
-        .setRegion(region.value())
-        .setDraining(draining)
-        .setVersion(version)
-        .build();
+    MemberState.Builder message =
+        MemberState.newBuilder()
+            .setNode(node.value())
+            .setIncarnation(incarnation.value())
+            .setLiveness(toMessage(liveness))
+            .setVersion(version);
+    if (reachable()) {
+      message
+          .setHost(host)
+          .setPort(port)
+          .setZone(zone.value())
+          .setRegion(region.value())
+          .setDraining(draining);
+    }
+    return message.build();
+  }
+
+  /** Reads the state of a member that is gone, whose place is known. */
+  static Member gone(MemberState message, Member known) {
+    return new Member(
+        known.node,
+        new Incarnation(message.getIncarnation()),
+        toLiveness(message.getLiveness()),
+        known.host,
+        known.port,
+        known.zone,
+        known.region,
+        true,
+        message.getVersion());
   }
 
   static Member of(MemberState message) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -98,7 +98,8 @@
    */
   public synchronized void learn(Member member) {
     if (member.region().equals(self.region()) && !member.node().equals(self.node())) {
-      take(member, 0);
+      // Every member learns this from the same source, so it is not spread.
+      keep(member, 0);
     }
   }
 
@@ -208,10 +209,9 @@
    */
   public synchronized List<Outgoing> receive(Gossip message, long nowNanos) {
     List<Outgoing> out = new ArrayList<>();
+    boolean wholeView = message.getKind() == Gossip.Kind.SYNC && message.getSequence() > 0;
     for (MemberState state : message.getStatesList()) {
-      if (isValid(state)) {
-        receiveState(Member.of(state), nowNanos);
-      }
+      read(state).ifPresent(member -> receiveState(member, !wholeView, nowNanos));
     }
     if (!Names.isName(message.getSender())) {
       return out;
@@ -227,17 +227,29 @@
     return out;
   }
 
-  private static boolean isValid(MemberState state) {
-    return Names.isName(state.getNode())
-        && Names.isName(state.getZone())
-        && Names.isName(state.getRegion());
+  // A state without a place is of a member that is gone; it counts if the member is known.
+  private Optional<Member> read(MemberState state) {
+    if (!Names.isName(state.getNode())) {
+      return Optional.empty();
+    }
+    if (Names.isName(state.getZone()) && Names.isName(state.getRegion())) {
+      return Optional.of(Member.of(state));
+    }
+    Known known = members.get(new NodeName(state.getNode()));
+    boolean gone =
+        state.getLiveness() == MemberState.Liveness.DEAD
+            || state.getLiveness() == MemberState.Liveness.LEFT;
+    return gone && known != null ? Optional.of(Member.gone(state, known.member)) : Optional.empty();
   }
 
-  private void receiveState(Member member, long nowNanos) {
+  private void receiveState(Member member, boolean spread, long nowNanos) {
     if (member.node().equals(self.node())) {
       refute(member);
     } else if (member.region().equals(self.region())) {
-      take(member, nowNanos);
+      boolean news = keep(member, nowNanos);
+      if (news && spread) {
+        dissemination.add(member.node());
+      }
     }
   }
 
@@ -251,13 +263,19 @@
   }
 
   private void take(Member member, long nowNanos) {
+    if (keep(member, nowNanos)) {
+      dissemination.add(member.node());
+    }
+  }
+
+  // Keeps a state if it is news, and returns whether it is.
+  private boolean keep(Member member, long nowNanos) {
     Known known = members.get(member.node());
     boolean news = known == null ? member.reachable() : member.overrides(known.member);
     if (!news) {
-      return;
+      return false;
     }
     put(member);
-    dissemination.add(member.node());
     Known stored = members.get(member.node());
     if (member.liveness() == Member.Liveness.SUSPECT) {
       stored.suspectSinceNanos = nowNanos;
@@ -266,6 +284,7 @@
     if (!member.reachable()) {
       stored.goneSinceNanos = nowNanos;
     }
+    return true;
   }
 
   private void put(Member member) {
@@ -282,8 +301,12 @@
   private void reply(NodeName sender, long sequence, List<Outgoing> out) {
     Known known = members.get(sender);
     if (known != null) {
-      Gossip ack = withRides(Gossip.Kind.ACK).setSequence(sequence).build();
-      out.add(to(known.member, ack));
+      Gossip.Builder ack = withRides(Gossip.Kind.ACK).setSequence(sequence);
+      if (known.member.liveness() != Member.Liveness.ALIVE) {
+        // Lets a member that was paused learn that it is believed gone, so that it refutes.
+        ack.addStates(known.member.toMessage());
+      }
+      out.add(to(known.member, ack.build()));
     }
   }
 
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
@@ -0,0 +1,199 @@
+package org.amaranthmoor.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.node.Member.Liveness;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class MembershipTests {
+
+  private static final long STEP = 100_000_000L;
+  private static final int STEPS_PER_SECOND = 10;
+
+  private final SplittableRandom random = new SplittableRandom(3);
+  private final List<Membership> nodes = new ArrayList<>();
+  private final Map<NodeName, Integer> index = new HashMap<>();
+  private final Set<Integer> silent = new HashSet<>();
+  private long now;
+
+  private static Member member(int number, String region) {
+    return new Member(
+        new NodeName("n" + number),
+        new Incarnation(1),
+        Liveness.ALIVE,
+        "127.0.0.1",
+        1,
+        new ZoneName("z"),
+        new RegionName(region),
+        false,
+        0);
+  }
+
+  private void start(int count) {
+    for (int i = 0; i < count; i++) {
+      nodes.add(new Membership(member(i, "r"), GossipTimings.standard(), random.split(), 0));
+      index.put(new NodeName("n" + i), i);
+    }
+    for (Membership node : nodes) {
+      for (int i = 0; i < count; i++) {
+        node.learn(member(i, "r"));
+      }
+    }
+  }
+
+  private void run(int seconds) {
+    for (int i = 0; i < seconds * STEPS_PER_SECOND; i++) {
+      now += STEP;
+      for (int n = 0; n < nodes.size(); n++) {
+        if (!silent.contains(n)) {
+          deliver(nodes.get(n).tick(now));
+        }
+      }
+    }
+  }
+
+  private void deliver(List<Membership.Outgoing> messages) {
+    for (Membership.Outgoing message : messages) {
+      Integer to = index.get(message.to());
+      if (to != null && !silent.contains(to)) {
+        deliver(nodes.get(to).receive(message.message(), now));
+      }
+    }
+  }
+
+  private Liveness seen(int observer, int subject) {
+    return nodes.get(observer).member(new NodeName("n" + subject)).orElseThrow().liveness();
+  }
+
+  private void assertAllSee(int subject, Liveness liveness) {
+    for (int i = 0; i < nodes.size(); i++) {
+      if (i != subject && !silent.contains(i)) {
+        assertEquals(liveness, seen(i, subject), "seen by n" + i);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 15, 100})
+  void nobodyIsSuspectedWhileAllAnswer(int count) {
+    start(count);
+
+    run(30);
+
+    for (int i = 0; i < count; i++) {
+      assertAllSee(i, Liveness.ALIVE);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {15, 100, 400})
+  void aLeaveIsKnownEverywhereWithinTenSeconds(int count) {
+    start(count);
+    run(5);
+
+    nodes.getFirst().leave();
+    run(10);
+
+    assertAllSee(0, Liveness.LEFT);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {15, 100})
+  void aSilentNodeIsDeadEverywhereInTheEnd(int count) {
+    start(count);
+    run(5);
+
+    silent.add(0);
+    run(30);
+
+    assertAllSee(0, Liveness.DEAD);
+  }
+
+  @Test
+  void aPausedNodeThatWakesRefutesItsDeath() {
+    start(15);
+    run(5);
+    silent.add(0);
+    run(30);
+
+    silent.remove(0);
+    run(60);
+
+    assertAllSee(0, Liveness.ALIVE);
+  }
+
+  @Test
+  void aNewIncarnationReplacesADeadOne() {
+    start(15);
+    silent.add(0);
+    run(30);
+    silent.remove(0);
+
+    nodes.getFirst().renew(new Incarnation(2));
+    run(30);
+
+    assertAllSee(0, Liveness.ALIVE);
+    assertEquals(
+        new Incarnation(2), nodes.get(1).member(new NodeName("n0")).orElseThrow().incarnation());
+  }
+
+  @Nested
+  class OtherRegions {
+
+    @Test
+    void areNotTakenIn() {
+      start(3);
+
+      nodes.getFirst().learn(member(9, "elsewhere"));
+
+      assertTrue(nodes.getFirst().member(new NodeName("n9")).isEmpty());
+    }
+  }
+
+  @Nested
+  class States {
+
+    @Test
+    void aGreaterIncarnationOverridesAnyLiveness() {
+      Member left = member(1, "r").withLiveness(Liveness.LEFT);
+      Member fresh =
+          new Member(
+              left.node(),
+              new Incarnation(2),
+              Liveness.ALIVE,
+              left.host(),
+              left.port(),
+              left.zone(),
+              left.region(),
+              false,
+              0);
+
+      assertTrue(fresh.overrides(left));
+    }
+
+    @Test
+    void ofOneVersionTheWorseLivenessCounts() {
+      Member alive = member(1, "r");
+      Member suspect = alive.withLiveness(Liveness.SUSPECT);
+
+      assertTrue(suspect.overrides(alive));
+      assertTrue(alive.withLiveness(Liveness.DEAD).overrides(suspect));
+      assertTrue(alive.withLiveness(Liveness.LEFT).overrides(suspect));
+    }
+  }
+}
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/capacity/GossipScale.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/capacity/GossipScale.java
@@ -156,12 +156,15 @@
   }
 
   private boolean allKnow(Member.Liveness liveness, int first, int count) {
+    List<NodeName> subjects = new ArrayList<>();
+    for (int i = first; i < first + count; i++) {
+      subjects.add(new NodeName("node-" + i));
+    }
     for (int observer = 0; observer < members.size(); observer++) {
       if (down.contains(observer)) {
         continue;
       }
-      for (int i = first; i < first + count; i++) {
-        NodeName node = new NodeName("node-" + i);
+      for (NodeName node : subjects) {
         if (members.get(observer).member(node).map(Member::liveness).orElse(liveness) != liveness) {
           return false;
         }
