--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/StateReader.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/StateReader.java
@@ -94,7 +94,7 @@
    */
   public Optional<ClusterState> newestCheckpoint() {
     Optional<ClusterState> newest = Optional.empty();
-    for (byte[] bytes : recentCheckpoints()) {
+    for (byte[] bytes : recentCheckpoints(CHECKPOINTS_TRIED)) {
       Optional<ClusterState> state = CheckpointCodec.read(bytes);
       long best = newest.map(ClusterState::offset).orElse(ClusterState.NO_OFFSET);
       if (state.isPresent() && state.get().offset() > best) {
@@ -105,20 +105,20 @@
   }
 
   /**
-   * Returns whether a checkpoint was written in a period or later.
+   * Returns whether the newest checkpoint was written in a period or later.
    *
    * @param period number of the period
-   * @return whether a recent checkpoint is that new
+   * @return whether it is that new
    */
   public boolean checkpointedSince(long period) {
-    return recentCheckpoints().stream()
+    return recentCheckpoints(1).stream()
         .anyMatch(bytes -> CheckpointCodec.period(bytes).filter(p -> p >= period).isPresent());
   }
 
-  private List<byte[]> recentCheckpoints() {
+  private List<byte[]> recentCheckpoints(int most) {
     List<byte[]> checkpoints = new ArrayList<>();
     Bounds bounds = bounds(log.read(PlatformLog.CHECKPOINT_STREAM, 0, 0, 0));
-    long first = Math.max(bounds.start(), bounds.end() - CHECKPOINTS_TRIED);
+    long first = Math.max(bounds.start(), bounds.end() - most);
     for (long offset = first; offset < bounds.end(); offset++) {
       if (log.read(PlatformLog.CHECKPOINT_STREAM, offset, 1, 0)
           instanceof ReadResult.Records records) {
