--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/NoteReading.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/NoteReading.java
@@ -1,5 +1,6 @@
 package org.amaranthmoor.operator;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.amaranthmoor.config.Reason;
@@ -26,9 +27,9 @@
    * @param reasons why, at least one
    */
   record Unreadable(Optional<NoteId> id, List<Reason> reasons) implements NoteReading {
-    /** Copies the reasons. */
+    /** Copies the reasons in order of lines. */
     public Unreadable {
-      reasons = List.copyOf(reasons);
+      reasons = reasons.stream().sorted(Comparator.comparingInt(Reason::line)).toList();
     }
   }
 }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Parsed.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Parsed.java
@@ -1,5 +1,6 @@
 package org.amaranthmoor.yaml;
 
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -26,9 +27,9 @@
    * @param <T> the type of the value
    */
   record Invalid<T>(List<Problem> problems) implements Parsed<T> {
-    /** Copies the problems. */
+    /** Copies the problems in order of lines. */
     public Invalid {
-      problems = List.copyOf(problems);
+      problems = problems.stream().sorted(Comparator.comparingInt(Problem::line)).toList();
     }
   }
 }
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/settings/NodeSettingsReaderTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/settings/NodeSettingsReaderTests.java
@@ -47,10 +47,9 @@
           caller-port: 7000        | caller-port: 70000       | 5 | caller-port | expected a whole number from 1 to 65535
           caller-port: 7000        | caller-port: 7001        | 5 | caller-port | must differ
           platform: 127.0.0.1:8000 | platform: here           | 8 | platform | expected an IP address with a port
-          name: lending-1          | name: -                  | 10 | target.name | expected
+          name: lending-1          | name: bad name           | 10 | target.name | expected 1 to 64
           """)
-  void namesLineAndKeyOfAMistake(
-      String right, String wrong, int line, String key, String message) {
+  void namesLineAndKeyOfAMistake(String right, String wrong, int line, String key, String message) {
     Parsed.Invalid<?> invalid =
         assertInstanceOf(
             Parsed.Invalid.class, NodeSettingsReader.read(VALID.replace(right, wrong)));
