--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
@@ -34,6 +33,7 @@
 import org.amaranthmoor.daemon.operator.StatusView;
 import org.amaranthmoor.daemon.platform.Announcer;
 import org.amaranthmoor.daemon.platform.Checkpointer;
+import org.amaranthmoor.daemon.platform.Evictor;
 import org.amaranthmoor.daemon.platform.HttpPlatformLog;
 import org.amaranthmoor.daemon.platform.LogFollower;
 import org.amaranthmoor.daemon.platform.PeerStateReader;
@@ -45,7 +45,6 @@
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
-import org.amaranthmoor.model.Rendezvous;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.GossipTimings;
@@ -73,8 +72,6 @@
   private static final int MAX_ANSWER_BYTES = 8 << 20;
   private static final long TICK_MILLIS = 100;
   private static final long SLOW_TICK_MILLIS = 1_000;
-  private static final long EVICT_AFTER_NANOS = 10_000_000_000L;
-  private static final long EVICT_STEP_NANOS = 3_000_000_000L;
   private static final long NOTICE_MILLIS = 1_000;
   private static final long POLL_MILLIS = 20;
 
@@ -96,6 +93,7 @@
   private final CallerHandler callerHandler;
   private final Announcer announcer;
   private final Checkpointer checkpointer;
+  private final Evictor evictor;
   private final LeaseKeeper leaseKeeper;
   private final PeerStateReader peerStates;
   private final LogFollower follower;
@@ -146,6 +144,7 @@
             settings.retentionMillis(),
             time,
             log);
+    this.evictor = new Evictor(settings.node(), membership, duty, time);
     this.leaseKeeper = new LeaseKeeper(identity, holder, duty, links, executor, time);
     this.peerStates = new PeerStateReader(links);
     this.follower = new LogFollower(stateReader, holder, this::onLogEnd, time, log);
@@ -355,7 +354,7 @@
           views.rebuild(state);
           executor.execute(this::announceIfMissing);
           leaseKeeper.askAll();
-          evictDead(state);
+          evictor.due(state).forEach(this::evict);
           List<NodeName> reachable =
               membership.members().stream().filter(Member::reachable).map(Member::node).toList();
           executor.execute(() -> guarded(() -> checkpointer.runIfDue(reachable)));
@@ -374,29 +373,9 @@
     }
   }
 
-  // The best ranked member of the service of a dead node evicts it; others follow later.
-  private void evictDead(ClusterState state) {
-    Optional<Homes> homes = duty.get().current();
-    List<NodeName> candidates = new ArrayList<>();
-    homes.ifPresent(set -> set.members().forEach(member -> candidates.add(member.node())));
-    for (Member dead : membership.deadFor(EVICT_AFTER_NANOS, time.nanos())) {
-      Announced announced = state.announced().get(dead.node());
-      boolean current = announced != null && announced.incarnation().equals(dead.incarnation());
-      List<NodeName> ranked =
-          Rendezvous.rank(Rendezvous.hash(dead.node().value()), candidates).stream()
-              .filter(node -> !node.equals(dead.node()))
-              .toList();
-      int rank = ranked.indexOf(settings.node());
-      boolean turn =
-          rank >= 0
-              && membership
-                  .deadFor(EVICT_AFTER_NANOS + rank * EVICT_STEP_NANOS, time.nanos())
-                  .contains(dead);
-      if (current && turn && candidates.contains(dead.node())) {
-        duty.get().onEvictionRequested();
-        executor.execute(() -> guarded(() -> announcer.evict(dead.node(), dead.incarnation())));
-      }
-    }
+  private void evict(Member dead) {
+    duty.get().onEvictionRequested();
+    executor.execute(() -> guarded(() -> announcer.evict(dead.node(), dead.incarnation())));
   }
 
   private boolean isGone(PeerAddress address) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ClientStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ClientStream.java
@@ -9,6 +9,7 @@
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.CreditGate;
 import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.daemon.exchange.WatchedBody;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.protocol.node.Failed;
@@ -109,7 +110,7 @@
       complete(new Outcome.Answered<>(Frames.toResponse(head, whole)));
       return;
     }
-    StreamedBody body = new StreamedBody(responseBody, this::cancel);
+    WatchedBody body = new WatchedBody(responseBody, () -> {}, this::cancel);
     CallResponse.Body streamed = new CallResponse.Body.Streamed(body, head.getBodyLength());
     complete(new Outcome.Answered<>(Frames.toResponse(head, streamed)));
   }
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/Evictor.java
@@ -0,0 +1,89 @@
+package org.amaranthmoor.daemon.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.Rendezvous;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.Member;
+import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.platform.Announced;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.Homes;
+
+/**
+ * Finds members of this target's service that have been dead for long and are to be evicted.
+ *
+ * <p>The members of the service are ranked for each dead one; the first asks for the eviction, the
+ * others follow later, in case the first has died too. Called from one thread.
+ */
+public final class Evictor {
+
+  private static final long EVICT_AFTER_NANOS = 10_000_000_000L;
+  private static final long EVICT_STEP_NANOS = 3_000_000_000L;
+
+  private final NodeName self;
+  private final Membership membership;
+  private final AtomicReference<HomeDuty> duty;
+  private final TimeSource time;
+
+  /**
+   * Creates an evictor.
+   *
+   * @param self this node
+   * @param membership who is dead, and since when
+   * @param duty knows the members of this target's service
+   * @param time the time
+   */
+  public Evictor(
+      NodeName self, Membership membership, AtomicReference<HomeDuty> duty, TimeSource time) {
+    this.self = self;
+    this.membership = membership;
+    this.duty = duty;
+    this.time = time;
+  }
+
+  /**
+   * Finds the members whose eviction is this node's turn.
+   *
+   * @param state the newest state
+   * @return the members
+   */
+  public List<Member> due(ClusterState state) {
+    List<NodeName> candidates = candidates();
+    List<Member> due = new ArrayList<>();
+    for (Member dead : membership.deadFor(EVICT_AFTER_NANOS, time.nanos())) {
+      if (candidates.contains(dead.node())
+          && isAnnounced(state, dead)
+          && isTurn(dead, candidates)) {
+        due.add(dead);
+      }
+    }
+    return due;
+  }
+
+  private List<NodeName> candidates() {
+    Optional<Homes> homes = duty.get().current();
+    return homes
+        .map(set -> set.members().stream().map(Homes.Member::node).toList())
+        .orElseGet(List::of);
+  }
+
+  private static boolean isAnnounced(ClusterState state, Member dead) {
+    Announced announced = state.announced().get(dead.node());
+    return announced != null && announced.incarnation().equals(dead.incarnation());
+  }
+
+  private boolean isTurn(Member dead, List<NodeName> candidates) {
+    List<NodeName> ranked =
+        Rendezvous.rank(Rendezvous.hash(dead.node().value()), candidates).stream()
+            .filter(node -> !node.equals(dead.node()))
+            .toList();
+    int rank = ranked.indexOf(self);
+    long after = EVICT_AFTER_NANOS + rank * EVICT_STEP_NANOS;
+    return rank >= 0 && membership.deadFor(after, time.nanos()).contains(dead);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the stand-ins share about HTTP. */
+package org.amaranthmoor.testkit.http;
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/LogServer.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/LogServer.java
@@ -5,9 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.amaranthmoor.daemon.http.HttpListener;
@@ -15,6 +13,7 @@
 import org.amaranthmoor.platform.PlatformLog.AppendResult;
 import org.amaranthmoor.platform.PlatformLog.Entry;
 import org.amaranthmoor.platform.PlatformLog.ReadResult;
+import org.amaranthmoor.testkit.http.Query;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -72,7 +71,7 @@
   public void handle(ClassicHttpRequest request, ResponseTrigger trigger, HttpContext context)
       throws HttpException, IOException {
     URI uri = URI.create(request.getRequestUri());
-    Map<String, String> query = parseQuery(uri.getRawQuery());
+    Query query = Query.parse(uri.getRawQuery());
     Matcher records = RECORDS.matcher(uri.getPath());
     pause();
     if (records.matches() && request.getMethod().equals("POST")) {
@@ -103,10 +102,10 @@
     };
   }
 
-  private ClassicHttpResponse read(String stream, Map<String, String> query) throws IOException {
-    long from = number(query, "from");
-    int most = (int) number(query, "max");
-    return switch (log.read(stream, from, most, number(query, "wait"))) {
+  private ClassicHttpResponse read(String stream, Query query) throws IOException {
+    long from = query.number("from");
+    int most = (int) query.number("max");
+    return switch (log.read(stream, from, most, query.number("wait"))) {
       case ReadResult.Records records -> {
         ClassicHttpResponse response = bounds(OK, records.start(), records.end());
         response.setEntity(
@@ -136,15 +135,15 @@
     return response;
   }
 
-  private ClassicHttpResponse setFaults(Map<String, String> query) {
-    if (query.containsKey("down")) {
-      log.setDown(query.get("down").equals("true"));
+  private ClassicHttpResponse setFaults(Query query) {
+    if (query.has("down")) {
+      log.setDown(query.flag("down"));
     }
-    if (query.containsKey("lose-answers")) {
-      log.loseAnswers((int) number(query, "lose-answers"));
+    if (query.has("lose-answers")) {
+      log.loseAnswers((int) query.number("lose-answers"));
     }
-    if (query.containsKey("slow-millis")) {
-      slowMillis = number(query, "slow-millis");
+    if (query.has("slow-millis")) {
+      slowMillis = query.number("slow-millis");
     }
     return text(OK, "ok");
   }
@@ -154,21 +153,4 @@
     response.setEntity(new StringEntity(text + "\n", ContentType.TEXT_PLAIN));
     return response;
   }
-
-  private static long number(Map<String, String> query, String name) {
-    return Long.parseLong(query.getOrDefault(name, "0"));
-  }
-
-  private static Map<String, String> parseQuery(String query) {
-    Map<String, String> values = new HashMap<>();
-    if (query != null) {
-      for (String pair : query.split("&", -1)) {
-        int equals = pair.indexOf('=');
-        if (equals > 0) {
-          values.put(pair.substring(0, equals), pair.substring(equals + 1));
-        }
-      }
-    }
-    return values;
-  }
 }
