--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Ejection.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Ejection.java
@@ -46,7 +46,7 @@
     }
   }
 
-  /** Returns whether calls should go to other servers if there are any. */
+  /** {@return whether calls should go to other servers if there are any} */
   static boolean holdsBack(ServerStats stats, long nowNanos) {
     return stats.ejected(nowNanos) || (stats.onProbation(nowNanos) && stats.ownInFlight() > 0);
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ProbePlanner.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ProbePlanner.java
@@ -57,12 +57,12 @@
     return Optional.of(server);
   }
 
-  /** Returns how many probes were planned. */
+  /** {@return how many probes were planned} */
   public long planned() {
     return planned.get();
   }
 
-  /** Returns how many probes the budget did not allow. */
+  /** {@return how many probes the budget did not allow} */
   public long refused() {
     return refused.get();
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -103,12 +103,12 @@
     report.set(new StampedReport(load, nowNanos));
   }
 
-  /** Returns the calls that this entry side has in flight at the server. */
+  /** {@return the calls that this entry side has in flight at the server} */
   public int ownInFlight() {
     return inFlight.get();
   }
 
-  /** Returns how many calls have finished. */
+  /** {@return how many calls have finished} */
   public long finished() {
     return finished.get();
   }
@@ -139,7 +139,7 @@
     return last == null ? Long.MAX_VALUE : nowNanos - last.atNanos;
   }
 
-  /** Returns the occupancy of the newest report, however old, or 0 if there is none. */
+  /** {@return the occupancy of the newest report, however old, or 0 if there is none} */
   public int reportedOccupancy() {
     StampedReport last = report.get();
     return last == null ? 0 : last.load.occupancy();
@@ -179,17 +179,17 @@
     return Math.max(known, silentNanos);
   }
 
-  /** Returns the smoothed share of calls that failed, from 0 to 1. */
+  /** {@return the smoothed share of calls that failed, from 0 to 1} */
   public double failureShare() {
     return Double.longBitsToDouble(failureBits.get());
   }
 
-  /** Returns when the server was first seen. */
+  /** {@return when the server was first seen} */
   public long firstSeenNanos() {
     return firstSeenNanos;
   }
 
-  /** Returns whether the newest report says that the server drains. */
+  /** {@return whether the newest report says that the server drains} */
   public boolean draining() {
     StampedReport last = report.get();
     return last != null && last.load.draining();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/WarmUp.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/WarmUp.java
@@ -15,7 +15,7 @@
 
   private WarmUp() {}
 
-  /** Returns the slots of a server that calls may count on, at least 1. */
+  /** {@return the slots of a server that calls may count on, at least 1} */
   static int slots(Server server, long nowNanos) {
     int slots = server.stats().slots(server.slots());
     long age = nowNanos - server.stats().firstSeenNanos();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/config/Reason.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/config/Reason.java
@@ -45,7 +45,7 @@
       this.number = number;
     }
 
-    /** Returns the number that operators see. */
+    /** {@return the number that operators see} */
     public int number() {
       return number;
     }
@@ -67,7 +67,11 @@
     }
   }
 
-  /** Renders the reason as one line. */
+  /**
+   * Renders the reason as one line.
+   *
+   * @return the text
+   */
   public String render() {
     String subject = item.isEmpty() ? "" : item + ": ";
     return "line " + line + ": " + subject + message + " (" + code.number() + " " + code + ")";
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/config/ServiceSpec.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/config/ServiceSpec.java
@@ -54,7 +54,7 @@
       return Optional.empty();
     }
 
-    /** Returns the name that release notes use. */
+    /** {@return the name that release notes use} */
     public String text() {
       return name().toLowerCase(Locale.ROOT);
     }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/IdempotencyKey.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/IdempotencyKey.java
@@ -67,7 +67,7 @@
     return new IdempotencyKey(new UUID(high, low));
   }
 
-  /** Returns the time the key was made, in milliseconds since the epoch. */
+  /** {@return the time the key was made, in milliseconds since the epoch} */
   public long madeAtMillis() {
     return value.getMostSignificantBits() >>> TIME_SHIFT;
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
@@ -14,7 +14,7 @@
 public record LoadReport(
     int inFlight, int queued, int slots, long serviceTimeNanos, boolean draining) {
 
-  /** Returns the requests in flight and queued together. */
+  /** {@return the requests in flight and queued together} */
   public int occupancy() {
     return inFlight + queued;
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/Priority.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/Priority.java
@@ -31,7 +31,7 @@
     return Optional.empty();
   }
 
-  /** Returns the name that release notes use. */
+  /** {@return the name that release notes use} */
   public String text() {
     return name().toLowerCase(Locale.ROOT);
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -95,22 +95,22 @@
     throw new IllegalArgumentException("no result code has the number " + number);
   }
 
-  /** Returns the number that callers see. */
+  /** {@return the number that callers see} */
   public int number() {
     return number;
   }
 
-  /** Returns what the code says about the request. */
+  /** {@return what the code says about the request} */
   public Kind kind() {
     return kind;
   }
 
-  /** Returns the HTTP status that callers see. */
+  /** {@return the HTTP status that callers see} */
   public int httpStatus() {
     return httpStatus;
   }
 
-  /** Returns whether another target may do better. */
+  /** {@return whether another target may do better} */
   public boolean elsewhere() {
     return elsewhere;
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/TimeSource.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/TimeSource.java
@@ -7,13 +7,13 @@
  */
 public interface TimeSource {
 
-  /** Returns monotonic time in nanoseconds; only differences mean anything. */
+  /** {@return monotonic time in nanoseconds; only differences mean anything} */
   long nanos();
 
-  /** Returns wall-clock time in milliseconds since the epoch. */
+  /** {@return wall-clock time in milliseconds since the epoch} */
   long wallMillis();
 
-  /** Returns the time of this machine. */
+  /** {@return the time of this machine} */
   static TimeSource system() {
     return new TimeSource() {
       @Override
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
@@ -24,7 +24,7 @@
     sent.put(node, 0);
   }
 
-  /** Returns members whose states ride on the next message and counts them as sent. */
+  /** {@return members whose states ride on the next message and counts them as sent} */
   List<NodeName> next(int limit, int members) {
     if (sent.isEmpty()) {
       return List.of();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/GossipTimings.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/GossipTimings.java
@@ -22,7 +22,7 @@
 
   private static final long MILLI = 1_000_000L;
 
-  /** Returns the timings that nodes use. */
+  /** {@return the timings that nodes use} */
   public static GossipTimings standard() {
     return new GossipTimings(1_000 * MILLI, 300 * MILLI, 3_000 * MILLI, 30_000 * MILLI, 3, 16);
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
@@ -69,7 +69,7 @@
     return liveness.compareTo(other.liveness) > 0;
   }
 
-  /** Returns whether calls and pings may go to the member. */
+  /** {@return whether calls and pings may go to the member} */
   public boolean reachable() {
     return liveness == Liveness.ALIVE || liveness == Liveness.SUSPECT;
   }
@@ -84,7 +84,7 @@
     return new Member(node, incarnation, changed, host, port, zone, region, draining, version);
   }
 
-  /** Returns a hash that is equal in every process for equal states. */
+  /** {@return a hash that is equal in every process for equal states} */
   long stateHash() {
     long hash = node.value().hashCode();
     hash = hash * 1_000_003 + incarnation.value();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -493,7 +493,7 @@
     return new Outgoing(member.node(), member.host(), member.port(), message);
   }
 
-  /** Returns the states of all members known, this node included. */
+  /** {@return the states of all members known, this node included} */
   public synchronized List<Member> members() {
     return members.values().stream().map(known -> known.member).toList();
   }
@@ -508,7 +508,7 @@
     return Optional.ofNullable(members.get(node)).map(known -> known.member);
   }
 
-  /** Returns this node's own state. */
+  /** {@return this node's own state} */
   public synchronized Member self() {
     return self;
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/NoteChange.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/operator/NoteChange.java
@@ -15,22 +15,22 @@
  */
 public sealed interface NoteChange {
 
-  /** Returns the kind of the item. */
+  /** {@return the kind of the item} */
   Kind kind();
 
-  /** Returns the name of the item. */
+  /** {@return the name of the item} */
   String name();
 
-  /** Returns the revision the change builds on, or empty if the item is new. */
+  /** {@return the revision the change builds on, or empty if the item is new} */
   Optional<NoteId> buildsOn();
 
-  /** Returns the line of the change, counted from 1. */
+  /** {@return the line of the change, counted from 1} */
   int line();
 
-  /** Returns the reasons that the operator overrides for this item. */
+  /** {@return the reasons that the operator overrides for this item} */
   Set<Reason.Code> overrides();
 
-  /** Returns how messages name the item. */
+  /** {@return how messages name the item} */
   default String label() {
     return kind().text() + " " + name();
   }
@@ -50,7 +50,7 @@
       this.text = text;
     }
 
-    /** Returns the word that messages use. */
+    /** {@return the word that messages use} */
     public String text() {
       return text;
     }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/ClusterState.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/ClusterState.java
@@ -65,7 +65,7 @@
     recentRecordIds = List.copyOf(recentRecordIds);
   }
 
-  /** Returns the state before the first record. */
+  /** {@return the state before the first record} */
   public static ClusterState empty() {
     return EMPTY;
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/LogRecords.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/LogRecords.java
@@ -79,7 +79,7 @@
     return record("evicted/" + node + "/" + incarnation).setEvicted(body).build();
   }
 
-  /** Returns the SHA-256 digest of some bytes. */
+  /** {@return the SHA-256 digest of some bytes} */
   static byte[] sha256(byte[] bytes) {
     try {
       return MessageDigest.getInstance("SHA-256").digest(bytes);
@@ -88,7 +88,7 @@
     }
   }
 
-  /** Returns bytes as lower-case hexadecimal digits. */
+  /** {@return bytes as lower-case hexadecimal digits} */
   static String hex(byte[] bytes) {
     return HexFormat.of().formatHex(bytes);
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/StateHolder.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/StateHolder.java
@@ -26,6 +26,9 @@
   private final AtomicReference<ClusterState> current = new AtomicReference<>(ClusterState.empty());
   private final List<Listener> listeners = new CopyOnWriteArrayList<>();
 
+  /** Creates a holder of the state before the first record. */
+  public StateHolder() {}
+
   /**
    * Adds a listener, which is told of later changes.
    *
@@ -35,7 +38,7 @@
     listeners.add(listener);
   }
 
-  /** Returns the newest state. */
+  /** {@return the newest state} */
   public ClusterState current() {
     return current.get();
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/Verdict.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/platform/Verdict.java
@@ -11,10 +11,10 @@
  */
 public sealed interface Verdict {
 
-  /** Returns the note. */
+  /** {@return the note} */
   NoteId note();
 
-  /** Returns the log offset of the note. */
+  /** {@return the log offset of the note} */
   long offset();
 
   /**
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/report/BurnReport.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/report/BurnReport.java
@@ -96,7 +96,11 @@
     return ((double) bad / total) / (1 - objective);
   }
 
-  /** Renders the report as a table. */
+  /**
+   * Renders the report as a table.
+   *
+   * @return the text
+   */
   public String render() {
     StringBuilder text = new StringBuilder();
     for (ServiceBurn service : services) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/report/CallCounts.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/report/CallCounts.java
@@ -22,6 +22,9 @@
 
   private final AtomicLongArray cells = new AtomicLongArray(MINUTES * FIELDS);
 
+  /** Creates counts that are all zero. */
+  public CallCounts() {}
+
   /**
    * Counts over one window.
    *
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
@@ -34,7 +34,7 @@
     this.problems = problems;
   }
 
-  /** Returns the line of the mapping, counted from 1. */
+  /** {@return the line of the mapping, counted from 1} */
   public int line() {
     return mapping.line();
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlNode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlNode.java
@@ -10,7 +10,7 @@
  */
 public sealed interface YamlNode {
 
-  /** Returns the line, counted from 1. */
+  /** {@return the line, counted from 1} */
   int line();
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -441,7 +441,7 @@
     return targetSide.running() + callerHandler.inProgress();
   }
 
-  /** Returns the status of the system as this node sees it; blocks for about a second at most. */
+  /** {@return the status of the system as this node sees it; blocks for about a second at most} */
   public StatusView status() {
     return statusCollector.collect(follower.available());
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerConnection.java
@@ -18,6 +18,6 @@
    */
   int readBody(byte[] buffer) throws IOException;
 
-  /** Returns whether the caller has closed its connection. */
+  /** {@return whether the caller has closed its connection} */
   boolean gone();
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -55,7 +55,7 @@
     this.reader = new CallReader(time);
   }
 
-  /** Returns how many calls are in progress. */
+  /** {@return how many calls are in progress} */
   public int inProgress() {
     return inProgress.get();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryViews.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryViews.java
@@ -73,7 +73,7 @@
     this.time = time;
   }
 
-  /** Returns the newest view, or empty before the first. */
+  /** {@return the newest view, or empty before the first} */
   public Optional<EntryView> current() {
     return current.get();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/TargetAccess.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/TargetAccess.java
@@ -56,7 +56,7 @@
     return links.open(address(server), request, configOffset);
   }
 
-  /** Returns where a server's node is reached. */
+  /** {@return where a server's node is reached} */
   static PeerAddress address(Server server) {
     return new PeerAddress(server.node(), server.incarnation(), server.host(), server.port());
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CreditGate.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CreditGate.java
@@ -19,6 +19,9 @@
   private long credit = FIRST_WINDOW;
   private boolean closed;
 
+  /** Creates a gate with the first window open. */
+  public CreditGate() {}
+
   /**
    * Takes credit, waiting until there is some.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
@@ -55,7 +55,7 @@
    */
   @SuppressWarnings("ArrayRecordComponent")
   public record Reply(int status, byte[] body, ClassicHttpResponse response) {
-    /** Returns the body as text. */
+    /** {@return the body as text} */
     public String text() {
       return new String(body, StandardCharsets.UTF_8);
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -75,7 +75,7 @@
     };
   }
 
-  /** Returns the port that is open. */
+  /** {@return the port that is open} */
   public int port() {
     return serverSocket.getLocalPort();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -100,7 +100,7 @@
     controlBytes.increment(bytes);
   }
 
-  /** Returns the bytes sent and received for control. */
+  /** {@return the bytes sent and received for control} */
   public double controlBytes() {
     return controlBytes.count();
   }
@@ -126,7 +126,11 @@
     Gauge.builder(name, value).description(description).register(registry);
   }
 
-  /** Renders all metrics in the text format of Prometheus. */
+  /**
+   * Renders all metrics in the text format of Prometheus.
+   *
+   * @return the text
+   */
   public String render() {
     return registry.scrape();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeIdentity.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeIdentity.java
@@ -26,12 +26,12 @@
     this.incarnation = new AtomicReference<>(incarnation);
   }
 
-  /** Returns the node. */
+  /** {@return the node} */
   public NodeName node() {
     return node;
   }
 
-  /** Returns the newest incarnation. */
+  /** {@return the newest incarnation} */
   public Incarnation incarnation() {
     return incarnation.get();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -117,7 +117,7 @@
     return reply;
   }
 
-  /** Returns whether the stream was known until now. */
+  /** {@return whether the stream was known until now} */
   boolean forget(ClientStream stream) {
     return streams.remove(stream.id(), stream);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/StatusView.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/StatusView.java
@@ -93,7 +93,11 @@
       int inFlight,
       int queued) {}
 
-  /** Renders the status as text. */
+  /**
+   * Renders the status as text.
+   *
+   * @return the text
+   */
   public String render() {
     StringBuilder text = new StringBuilder();
     text.append("asked ").append(askedNode).append(", offset ").append(offset);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/LogFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/LogFollower.java
@@ -64,7 +64,7 @@
     thread.start();
   }
 
-  /** Returns whether the log answered last time. */
+  /** {@return whether the log answered last time} */
   public boolean available() {
     return available.get();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/settings/Endpoint.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/settings/Endpoint.java
@@ -36,7 +36,7 @@
         : Optional.empty();
   }
 
-  /** Returns the address for sockets. */
+  /** {@return the address for sockets} */
   public InetSocketAddress socketAddress() {
     return new InetSocketAddress(host, port);
   }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/CallMix.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/CallMix.java
@@ -17,7 +17,7 @@
 public record CallMix(
     String name, String method, String path, int bodyBytes, boolean keyed, int weight) {
 
-  /** Returns the calls that the Collective's members and volunteers make. */
+  /** {@return the calls that the Collective's members and volunteers make} */
   public static List<CallMix> collective() {
     return List.of(
         new CallMix("catalogue", "GET", "/lending/catalogue/pages/7", 0, false, 12),
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/HttpCaller.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/HttpCaller.java
@@ -67,7 +67,7 @@
       return header == null ? "" : header.getValue();
     }
 
-    /** Returns the body as text. */
+    /** {@return the body as text} */
     public String text() {
       return new String(body, java.nio.charset.StandardCharsets.UTF_8);
     }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/LoadGenerator.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/LoadGenerator.java
@@ -167,12 +167,17 @@
     counts.computeIfAbsent(name, key -> new AtomicLong()).incrementAndGet();
   }
 
-  /** Returns how many answers were cut short or another call's. */
+  /** {@return how many answers were cut short or another call's} */
   public long wrongAnswers() {
     return wrongAnswers.get();
   }
 
-  /** Returns how many calls of all kinds had an outcome that starts with a text. */
+  /**
+   * Counts calls of all kinds by their outcome.
+   *
+   * @param prefix what the outcome starts with
+   * @return how many calls had such an outcome
+   */
   public long outcomes(String prefix) {
     return tallies.values().stream()
         .flatMap(tally -> tally.outcomes.entrySet().stream())
@@ -181,7 +186,11 @@
         .sum();
   }
 
-  /** Renders what was served, where and how fast. */
+  /**
+   * Renders what was served, where and how fast.
+   *
+   * @return the text
+   */
   public String report() {
     List<String> lines = new ArrayList<>();
     lines.add(
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/PairedLatency.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/PairedLatency.java
@@ -105,7 +105,11 @@
     }
   }
 
-  /** Renders the latencies, and what each way adds to the first. */
+  /**
+   * Renders the latencies, and what each way adds to the first.
+   *
+   * @return the text
+   */
   public String report() {
     StringBuilder text = new StringBuilder();
     text.append("| way | calls | p50 ms | p99 ms | added p50 ms | added p99 ms |\n");
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/capacity/GossipScale.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/capacity/GossipScale.java
@@ -173,7 +173,7 @@
     return true;
   }
 
-  /** Returns how many live nodes some live node believes dead. */
+  /** {@return how many live nodes some live node believes dead} */
   long falselyDead() {
     long count = 0;
     for (int observer = 0; observer < members.size(); observer++) {
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/deployment/Deployment.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/deployment/Deployment.java
@@ -56,7 +56,7 @@
    * @param daemon the node
    */
   public record RunningNode(NodeSettings settings, NodeDaemon daemon) {
-    /** Returns where callers reach it. */
+    /** {@return where callers reach it} */
     public InetSocketAddress callerAddress() {
       return new InetSocketAddress(settings.host(), settings.callerPort());
     }
@@ -71,12 +71,12 @@
     this.logServer = new LogServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), log);
   }
 
-  /** Returns the log, for its faults. */
+  /** {@return the log, for its faults} */
   public InMemoryLog log() {
     return log;
   }
 
-  /** Returns a client of the log. */
+  /** {@return a client of the log} */
   public HttpPlatformLog logClient() {
     return new HttpPlatformLog(new Endpoint(HOST, logServer.port()));
   }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabPolicy.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabPolicy.java
@@ -10,7 +10,7 @@
  */
 sealed interface LabPolicy {
 
-  /** Returns the name in reports. */
+  /** {@return the name in reports} */
   String name();
 
   /** A policy of the product or a baseline. */
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabServer.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabServer.java
@@ -37,7 +37,7 @@
     }
   }
 
-  /** Returns when work that starts now is done, at the speeds of the times between. */
+  /** {@return when work that starts now is done, at the speeds of the times between} */
   long finishNanos(long startNanos, long workNanos) {
     long now = startNanos;
     double left = workNanos;
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/PolicyLab.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/PolicyLab.java
@@ -56,7 +56,11 @@
     return new Row(planned.labCase, planned.policy, result);
   }
 
-  /** Renders the comparison as a table in Markdown. */
+  /**
+   * Renders the comparison as a table in Markdown.
+   *
+   * @return the text
+   */
   public String table() {
     StringBuilder text = new StringBuilder();
     text.append("seed ").append(seed).append("\n\n");
@@ -95,7 +99,11 @@
         (double) r.probes * PROBE_BYTES / r.calls);
   }
 
-  /** Renders what the targets of the project say about the product's own policy. */
+  /**
+   * Renders what the targets of the project say about the product's own policy.
+   *
+   * @return the text
+   */
   public String verdicts() {
     StringBuilder text = new StringBuilder();
     for (Row row : rows) {
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/InMemoryLog.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/InMemoryLog.java
@@ -73,7 +73,7 @@
     answersToLose = count;
   }
 
-  /** Returns how many records were appended. */
+  /** {@return how many records were appended} */
   public synchronized long appended() {
     return appended;
   }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/LogServer.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/platform/LogServer.java
@@ -57,7 +57,7 @@
     this.listener = new HttpListener(address, this);
   }
 
-  /** Returns the port that is open. */
+  /** {@return the port that is open} */
   public int port() {
     return listener.port();
   }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/FakeNode.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/FakeNode.java
@@ -92,7 +92,7 @@
     inbox.clear();
   }
 
-  /** Returns the members of a service as this node knows them. */
+  /** {@return the members of a service as this node knows them} */
   Homes homes(ServiceName service) {
     return Homes.of(holder.current(), service);
   }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/RandomRun.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/random/RandomRun.java
@@ -69,7 +69,15 @@
     queue.after(0, this::publish);
   }
 
-  /** What a run did. */
+  /**
+   * What a run did.
+   *
+   * @param seed its seed
+   * @param steps events run
+   * @param executions requests that targets ran
+   * @param calls calls that callers began
+   * @param answered attempts that were answered
+   */
   public record Summary(long seed, long steps, int executions, long calls, long answered) {}
 
   /**
@@ -113,7 +121,7 @@
     return node;
   }
 
-  /** Returns a node that is not dead. */
+  /** {@return a node that is not dead} */
   FakeNode anyNode() {
     return nodes.get(random.nextInt(nodes.size()));
   }
@@ -126,7 +134,7 @@
     return random.nextDouble() < probability;
   }
 
-  /** Returns a delay of a message: mostly short, sometimes very long. */
+  /** {@return a delay of a message: mostly short, sometimes very long} */
   long delay() {
     return chance(0.05) ? random.nextLong(6_000) : random.nextLong(20);
   }
