Never call a request not run if an earlier attempt may have run

Cause: the answer to the caller was the last attempt's outcome. An idempotent request that ran in a first attempt whose connection broke, and was refused in a second one, was called not run. Found by reading; the new test failed at its first request before the change (put-0 ran, but was called not run). Change: a refusal after an attempt that may have run is answered as unknown.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -103,7 +103,7 @@
       Attempt tries =
           new Attempt(request.withAttempt(request.attempt() + attempt - 1), service, server.get());
       Outcome<CallResponse> outcome = tries.run(caller);
-      served = new Served(outcome, server);
+      served = new Served(atLeastUnknown(served.outcome(), outcome), server);
       if (!retries(request, service, tried, attempt, tries, outcome)) {
         return served;
       }
@@ -112,6 +112,13 @@
     return served;
   }
 
+  // A refusal speaks for the last attempt only; if an earlier one may have run, so may the call.
+  private static Outcome<CallResponse> atLeastUnknown(
+      Outcome<CallResponse> earlier, Outcome<CallResponse> last) {
+    boolean mayHaveRun = earlier instanceof Outcome.Unknown<CallResponse>;
+    return mayHaveRun && last instanceof Outcome.NotRun<CallResponse> ? earlier : last;
+  }
+
   private boolean retries(
       CallRequest request,
       ServiceView service,
--- a/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/deployment/DeploymentTests.java
+++ b/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/deployment/DeploymentTests.java
@@ -180,6 +180,21 @@
       assertEquals(0, executions("none"));
     }
 
+    @Test
+    void aRequestThatRanInAnEarlierAttemptIsNeverCalledNotRun() throws IOException {
+      setAllFaults(new Faults(1, false, false, true, false, 0, false));
+      deployment.target(1).close();
+      deployment.target(2).close();
+
+      for (int i = 0; i < 20; i++) {
+        HttpCaller.Answer answer = call(0, request("PUT", "/lending/uploads/1", "put-" + i));
+        boolean ran = executions("put-" + i) > 0;
+        boolean calledNotRun = answer.header(CallHeaders.OUTCOME).equals("not-run");
+
+        assertFalse(ran && calledNotRun, "put-" + i + " ran, but was called not run");
+      }
+    }
+
     @Test
     void aDeadNodeIsPassedOver() throws IOException {
       deployment.node(1).daemon().halt();
