Track the packages named target

Ruled out: files lost later (they were never tracked).

Also: an exchange that fails with an unchecked exception gives its slot back and is answered as unknown; code that nothing called is gone.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/CallHeaders.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/CallHeaders.java
@@ -41,9 +41,6 @@
   /** Set on an answer that repeats the answer to an earlier request with the same key. */
   public static final String REPLAYED = "Idempotent-Replayed";
 
-  /** Requests that a target has in flight, as it reports itself. */
-  public static final String TARGET_LOAD = "Amaranthmoor-Load";
-
   /**
    * Header by which a target says that it refused a request without running it; the value is {@code
    * not-run}.
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/HomeDuty.java
@@ -0,0 +1,220 @@
+package org.amaranthmoor.target;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthmoor.model.IdempotencyKey;
+
+/**
+ * Decides whether this target side may vouch that a key was never run before.
+ *
+ * <p>Each key has one home, found by rendezvous hashing over the members that the log names. A home
+ * vouches only under a lease, which is renewed without writing anything: either this node has read
+ * the log to its end and found no change of members, or every other member has confirmed that it
+ * knows of none. A member that learns of a change vouches only for keys made after every older
+ * lease has run out. So two homes never vouch for one key, even if one of them was paused.
+ *
+ * <p>Invariant: if two instances vouch for one key, they are the same member. Assumes that clocks
+ * differ by at most {@link KeyLedger#MAX_CLOCK_SKEW_MILLIS}. Safe for use by several threads.
+ */
+public final class HomeDuty {
+
+  /** Time for which a lease holds, in milliseconds. */
+  public static final long LEASE_MILLIS = 3_000;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Confirmations that a member needs before it vouches for the first time. */
+  private static final int FIRST_CONFIRMATIONS = 2;
+
+  /** Whether a key may be claimed here. */
+  public enum Vouching {
+    /** No other home can have run the key; the ledger here decides. */
+    VOUCHED,
+    /** Another member is the home, or this one holds no lease at present. */
+    NOT_HOME,
+    /** An earlier home may have run the key. */
+    CANNOT_KNOW
+  }
+
+  /** One set of members and the time from which another one replaced it. */
+  private record PastHomes(Homes homes, long replacedAtMillis) {}
+
+  private final Homes.Member self;
+  private final Deque<PastHomes> past = new ArrayDeque<>();
+  private final Map<Homes.Member, Long> confirmedAtNanos = new HashMap<>();
+  private Optional<Homes> current = Optional.empty();
+  private long unknownUntilMillis;
+  private long logReadAtNanos;
+  private boolean logRead;
+  private boolean evictionPending;
+  // Whether other members may still confirm sets that lack this member.
+  private boolean joining = true;
+
+  /**
+   * Creates a duty that vouches for nothing yet.
+   *
+   * @param self this member
+   */
+  public HomeDuty(Homes.Member self) {
+    this.self = self;
+  }
+
+  /**
+   * Takes in the members of this target's service after one or more log records.
+   *
+   * @param homes the members
+   * @param contiguous whether every record since the last call was folded one by one
+   * @param wallMillis the current wall-clock time
+   */
+  public synchronized void onHomes(Homes homes, boolean contiguous, long wallMillis) {
+    evictionPending = false;
+    if (!contiguous || current.isEmpty()) {
+      past.clear();
+      joining = true;
+    } else if (!current.get().equals(homes)) {
+      past.addLast(new PastHomes(current.get(), wallMillis));
+    }
+    if (!homes.equals(current.orElse(null))) {
+      confirmedAtNanos.clear();
+      logRead = false;
+      current = Optional.of(homes);
+    }
+    endJoining(wallMillis);
+    forgetLapsed(wallMillis);
+  }
+
+  // A member that lags behind may confirm an older set to a home that this one replaces, until it
+  // has taken the newer set in. So older leases are counted from the confirmations on.
+  private void endJoining(long wallMillis) {
+    if (joining && enoughFirstConfirmations()) {
+      joining = false;
+      unknownUntilMillis = wallMillis;
+    }
+  }
+
+  private void forgetLapsed(long wallMillis) {
+    long oldest = wallMillis - KeyLedger.WINDOW_MILLIS - fenceMillis();
+    Iterator<PastHomes> iterator = past.iterator();
+    while (iterator.hasNext() && iterator.next().replacedAtMillis() < oldest) {
+      iterator.remove();
+    }
+  }
+
+  /**
+   * Records that the log was read to its end and the result was taken in.
+   *
+   * @param startedNanos when the reading started
+   */
+  public synchronized void onLogRead(long startedNanos) {
+    logRead = true;
+    logReadAtNanos = startedNanos;
+  }
+
+  /**
+   * Records that a member confirmed a set of members.
+   *
+   * @param member the member that confirmed
+   * @param fingerprint fingerprint of the set it knows
+   * @param askedNanos when it was asked
+   * @param wallMillis the current wall-clock time
+   */
+  public synchronized void onConfirmed(
+      Homes.Member member, long fingerprint, long askedNanos, long wallMillis) {
+    boolean sameSet = current.isPresent() && current.get().fingerprint() == fingerprint;
+    if (sameSet && current.get().members().contains(member)) {
+      confirmedAtNanos.put(member, askedNanos);
+      endJoining(wallMillis);
+    }
+  }
+
+  /** Stops confirming until the log shows what became of an eviction this node asked for. */
+  public synchronized void onEvictionRequested() {
+    evictionPending = true;
+  }
+
+  /**
+   * Answers another member that asks for confirmation.
+   *
+   * @param fingerprint fingerprint of the set that the asking member knows
+   * @return whether this member knows the same set and no change is under way
+   */
+  public synchronized boolean confirms(long fingerprint) {
+    return !evictionPending && current.isPresent() && current.get().fingerprint() == fingerprint;
+  }
+
+  /** {@return the members this node knows, empty before the first state} */
+  public synchronized Optional<Homes> current() {
+    return current;
+  }
+
+  /**
+   * Decides whether a key may be claimed here.
+   *
+   * @param key the key
+   * @param nowNanos the current monotonic time
+   * @return the decision
+   */
+  public synchronized Vouching vouch(IdempotencyKey key, long nowNanos) {
+    if (current.isEmpty() || !isHome(current.get(), key) || !holdsLease(nowNanos)) {
+      return Vouching.NOT_HOME;
+    }
+    return everHome(key) ? Vouching.VOUCHED : Vouching.CANNOT_KNOW;
+  }
+
+  private boolean isHome(Homes homes, IdempotencyKey key) {
+    return homes.homeOf(key).filter(self::equals).isPresent();
+  }
+
+  private boolean everHome(IdempotencyKey key) {
+    if (joining || unknownUntilMillis + fenceMillis() >= key.madeAtMillis()) {
+      return false;
+    }
+    for (PastHomes set : past) {
+      boolean mayHaveActed = set.replacedAtMillis() + fenceMillis() >= key.madeAtMillis();
+      if (mayHaveActed && !isHome(set.homes(), key)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean holdsLease(long nowNanos) {
+    if (!enoughFirstConfirmations()) {
+      return false;
+    }
+    boolean byLog = logRead && isFresh(logReadAtNanos, nowNanos);
+    return byLog || everyMemberConfirmed(nowNanos);
+  }
+
+  private boolean enoughFirstConfirmations() {
+    int others = current.get().members().size() - 1;
+    return confirmedAtNanos.size() >= Math.min(FIRST_CONFIRMATIONS, others);
+  }
+
+  private boolean everyMemberConfirmed(long nowNanos) {
+    int others = 0;
+    for (Homes.Member member : current.get().members()) {
+      if (member.equals(self)) {
+        continue;
+      }
+      others++;
+      Long askedNanos = confirmedAtNanos.get(member);
+      if (askedNanos == null || !isFresh(askedNanos, nowNanos)) {
+        return false;
+      }
+    }
+    return others > 0;
+  }
+
+  private static boolean isFresh(long startedNanos, long nowNanos) {
+    return nowNanos - startedNanos < LEASE_MILLIS * NANOS_PER_MILLI;
+  }
+
+  private static long fenceMillis() {
+    return LEASE_MILLIS + 2 * KeyLedger.MAX_CLOCK_SKEW_MILLIS;
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -44,10 +44,6 @@
           .register(registry);
   private final Counter retries =
       Counter.builder("amaranthmoor.retries").description("Repeated attempts").register(registry);
-  private final Counter violations =
-      Counter.builder("amaranthmoor.invariant.violations")
-          .description("Invariants found broken; always 0 in a correct program")
-          .register(registry);
   private final Map<OutcomeKey, Counter> outcomes = new ConcurrentHashMap<>();
   private final Map<ServiceName, Timer> latencies = new ConcurrentHashMap<>();
 
@@ -110,11 +106,6 @@
     retries.increment();
   }
 
-  /** Counts an invariant found broken. */
-  public void violation() {
-    violations.increment();
-  }
-
   /**
    * Adds a value that is read when metrics are.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -1,6 +1,5 @@
 package org.amaranthmoor.daemon.node;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
 import java.util.ArrayList;
 import java.util.List;
@@ -188,10 +187,6 @@
         load.getDraining());
   }
 
-  static byte[] bytes(ByteString bytes) {
-    return bytes.toByteArray();
-  }
-
   private static Header toMessage(HeaderField field) {
     return Header.newBuilder().setName(field.name()).setValue(field.value()).build();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -122,10 +122,6 @@
     return streams.remove(stream.id(), stream);
   }
 
-  int streams() {
-    return streams.size();
-  }
-
   void close() {
     channel.ifPresent(Channel::close);
   }
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/InboundCall.java
@@ -0,0 +1,74 @@
+package org.amaranthmoor.daemon.target;
+
+import java.io.InputStream;
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.target.HandOver;
+
+/**
+ * A request that arrived at this target side.
+ *
+ * <p>Safe for use by several threads: one runs it, another may cancel it.
+ */
+public final class InboundCall {
+
+  private final CallRequest request;
+  private final InputStream rest;
+  private final HandOver handOver;
+  private final AtomicReference<Runnable> abort = new AtomicReference<>(InboundCall::doNothing);
+  private volatile boolean cancelled;
+
+  /**
+   * Creates a call.
+   *
+   * @param request the request
+   * @param rest the body after the request's prefix
+   * @param handOver the point at which it is committed
+   */
+  public InboundCall(CallRequest request, InputStream rest, HandOver handOver) {
+    this.request = request;
+    this.rest = rest;
+    this.handOver = handOver;
+  }
+
+  /** {@return the request} */
+  public CallRequest request() {
+    return request;
+  }
+
+  /** {@return the body after the request's prefix} */
+  InputStream rest() {
+    return rest;
+  }
+
+  /** {@return the point at which the request is committed} */
+  public HandOver handOver() {
+    return handOver;
+  }
+
+  /** Cancels the call: it is fenced, or its connection to the target is closed. */
+  public void cancel() {
+    cancelled = true;
+    handOver.fence();
+    abort.get().run();
+  }
+
+  /** {@return whether the call was cancelled} */
+  boolean cancelled() {
+    return cancelled;
+  }
+
+  // Sets what cancelling does from now on, and does it if the call is cancelled already.
+  void onCancel(Runnable action) {
+    abort.set(action);
+    if (cancelled) {
+      action.run();
+    }
+  }
+
+  void clearOnCancel() {
+    abort.set(InboundCall::doNothing);
+  }
+
+  private static void doNothing() {}
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/LeaseKeeper.java
@@ -0,0 +1,105 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.daemon.node.NodeIdentity;
+import org.amaranthmoor.daemon.node.PeerAddress;
+import org.amaranthmoor.daemon.node.PeerLinks;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.platform.Announced;
+import org.amaranthmoor.platform.ClusterState;
+import org.amaranthmoor.platform.StateHolder;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.LeaseGrant;
+import org.amaranthmoor.protocol.node.LeaseRequest;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.Homes;
+
+/**
+ * Asks the other members of this target's service to confirm the set of members.
+ *
+ * <p>Called from one thread; the questions run on others.
+ */
+public final class LeaseKeeper {
+
+  private static final long TIMEOUT_MILLIS = 800;
+
+  private final NodeIdentity identity;
+  private final StateHolder holder;
+  private final AtomicReference<HomeDuty> duty;
+  private final PeerLinks links;
+  private final ExecutorService executor;
+  private final TimeSource time;
+
+  /**
+   * Creates a keeper.
+   *
+   * @param identity this node
+   * @param holder the newest state
+   * @param duty takes confirmations
+   * @param links carries questions
+   * @param executor runs questions
+   * @param time the time
+   */
+  public LeaseKeeper(
+      NodeIdentity identity,
+      StateHolder holder,
+      AtomicReference<HomeDuty> duty,
+      PeerLinks links,
+      ExecutorService executor,
+      TimeSource time) {
+    this.identity = identity;
+    this.holder = holder;
+    this.duty = duty;
+    this.links = links;
+    this.executor = executor;
+    this.time = time;
+  }
+
+  /** Asks every other member once. */
+  public void askAll() {
+    HomeDuty current = duty.get();
+    Optional<Homes> homes = current.current();
+    ClusterState state = holder.current();
+    if (homes.isEmpty()) {
+      return;
+    }
+    for (Homes.Member member : homes.get().members()) {
+      Announced announced = state.announced().get(member.node());
+      boolean other = !member.node().equals(identity.node());
+      if (other && announced != null && announced.incarnation().equals(member.incarnation())) {
+        executor.execute(() -> ask(current, homes.get(), member, announced));
+      }
+    }
+  }
+
+  private void ask(HomeDuty asking, Homes homes, Homes.Member member, Announced announced) {
+    long askedNanos = time.nanos();
+    PeerAddress address =
+        new PeerAddress(
+            announced.node(), announced.incarnation(), announced.host(), announced.port());
+    Optional<Frame> reply =
+        links.query(address, id -> request(id, homes.fingerprint()), TIMEOUT_MILLIS);
+    if (reply.isPresent() && isGrantOf(reply.get().getLeaseGrant(), member)) {
+      asking.onConfirmed(member, homes.fingerprint(), askedNanos, time.wallMillis());
+    }
+  }
+
+  private static boolean isGrantOf(LeaseGrant grant, Homes.Member member) {
+    return grant.getGranted()
+        && grant.getGranter().equals(member.node().value())
+        && grant.getGranterIncarnation() == member.incarnation().value();
+  }
+
+  private Frame request(long query, long fingerprint) {
+    LeaseRequest request =
+        LeaseRequest.newBuilder()
+            .setQuery(query)
+            .setHolder(identity.node().value())
+            .setIncarnation(identity.incarnation().value())
+            .setFingerprint(fingerprint)
+            .build();
+    return Frame.newBuilder().setLeaseRequest(request).build();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -0,0 +1,66 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.Admission.Decision;
+
+/**
+ * Waits for a slot on the thread that runs the request.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class SlotWaiter implements Admission.Waiter {
+
+  private final Priority priority;
+  private final long deadlineNanos;
+  private final CompletableFuture<Decision> decision = new CompletableFuture<>();
+
+  SlotWaiter(Priority priority, long deadlineNanos) {
+    this.priority = priority;
+    this.deadlineNanos = deadlineNanos;
+  }
+
+  @Override
+  public Priority priority() {
+    return priority;
+  }
+
+  @Override
+  public long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  @Override
+  public void admitted() {
+    decision.complete(new Decision.Admitted());
+  }
+
+  @Override
+  public void refused(Decision.Refused refusal) {
+    decision.complete(refusal);
+  }
+
+  /** Waits until the decision falls or the deadline passes. */
+  Decision await(Admission admission, long nowNanos) throws InterruptedException {
+    try {
+      return decision.get(Math.max(0, deadlineNanos - nowNanos), TimeUnit.NANOSECONDS);
+    } catch (TimeoutException e) {
+      return giveUp(admission, ResultCode.DEADLINE_BEFORE_START);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("decisions are never exceptions", e);
+    }
+  }
+
+  /** Leaves the queue; if a decision fell at the same time, that one counts. */
+  Decision giveUp(Admission admission, ResultCode code) {
+    if (admission.withdraw(this)) {
+      decision.complete(new Decision.Refused(code, 0));
+    }
+    return decision.join();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/StoredAnswer.java
@@ -0,0 +1,41 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthmoor.caller.CallHeaders;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.HeaderField;
+
+/**
+ * An answer kept for repeats of its request.
+ *
+ * <p>Immutable if its body is not changed; safe for use by several threads.
+ *
+ * @param status the HTTP status
+ * @param headers the headers
+ * @param body the whole body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record StoredAnswer(int status, List<HeaderField> headers, byte[] body) {
+
+  private static final int OVERHEAD_BYTES = 512;
+
+  /** {@return the memory it takes, in bytes, roughly} */
+  public int bytes() {
+    return body.length + OVERHEAD_BYTES;
+  }
+
+  static Optional<StoredAnswer> of(CallResponse response) {
+    return response.body() instanceof CallResponse.Body.Whole whole
+        ? Optional.of(new StoredAnswer(response.status(), response.headers(), whole.bytes()))
+        : Optional.empty();
+  }
+
+  CallResponse replay() {
+    List<HeaderField> marked = new ArrayList<>(headers);
+    marked.add(new HeaderField(CallHeaders.REPLAYED, "true"));
+    return new CallResponse(
+        status, List.copyOf(marked), new CallResponse.Body.Whole(body), Optional.empty());
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
@@ -0,0 +1,70 @@
+package org.amaranthmoor.daemon.target;
+
+import java.io.IOException;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import org.amaranthmoor.daemon.settings.NodeSettings.TargetSettings;
+import org.amaranthmoor.model.TimeSource;
+
+/**
+ * Pools connections to the target.
+ *
+ * <p>Invariant: a connection whose last exchange did not end cleanly is never used again. Safe for
+ * use by several threads; lock-free.
+ */
+public final class TargetConnections implements AutoCloseable {
+
+  /**
+   * Age up to which an idle connection carries a request that must not run twice. The target may
+   * close an idle connection at the moment a request is sent on it.
+   */
+  private static final long MAX_IDLE_FOR_UNREPEATABLE_NANOS = 200_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final TargetSettings settings;
+  private final TimeSource time;
+  private final ConcurrentLinkedDeque<TargetConnection> idle = new ConcurrentLinkedDeque<>();
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param settings the target
+   * @param time the time
+   */
+  public TargetConnections(TargetSettings settings, TimeSource time) {
+    this.settings = settings;
+    this.time = time;
+  }
+
+  TargetConnection acquire(boolean repeatable) throws IOException {
+    long maxIdleNanos = settings.idleMillis() * NANOS_PER_MILLI;
+    if (!repeatable) {
+      maxIdleNanos = Math.min(maxIdleNanos, MAX_IDLE_FOR_UNREPEATABLE_NANOS);
+    }
+    TargetConnection connection = idle.pollFirst();
+    while (connection != null) {
+      boolean young = time.nanos() - connection.idleSince() <= maxIdleNanos;
+      if (young && connection.isClean()) {
+        return connection;
+      }
+      connection.abort();
+      connection = idle.pollFirst();
+    }
+    return TargetConnection.open(settings.address());
+  }
+
+  void release(TargetConnection connection) {
+    if (!connection.isClean() || idle.size() >= settings.connections()) {
+      connection.abort();
+      return;
+    }
+    connection.idleSince(time.nanos());
+    idle.addFirst(connection);
+  }
+
+  @Override
+  public void close() {
+    idle.forEach(TargetConnection::abort);
+    idle.clear();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -0,0 +1,242 @@
+package org.amaranthmoor.daemon.target;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthmoor.caller.CallHeaders;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.daemon.exchange.WatchedBody;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TimeSource;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.io.entity.InputStreamEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+
+/**
+ * Sends one committed request over one connection and reads the answer.
+ *
+ * <p>Confined to one thread, but for aborting the connection. The connection goes back to the pool
+ * only after a whole answer; {@code whenDone} is called exactly once, after the answer was read or
+ * given up.
+ */
+final class TargetExchange {
+
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "transfer-encoding",
+          "content-length",
+          "te",
+          "trailer",
+          "upgrade");
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+  private static final int UNAVAILABLE = 503;
+  private static final long BODY_IDLE_NANOS = 30_000_000_000L;
+
+  private final InboundCall call;
+  private final TargetConnection connection;
+  private final TargetConnections pool;
+  private final TimeSource time;
+  private final Runnable whenDone;
+  private boolean done;
+
+  TargetExchange(
+      InboundCall call,
+      TargetConnection connection,
+      TargetConnections pool,
+      TimeSource time,
+      Runnable whenDone) {
+    this.call = call;
+    this.connection = connection;
+    this.pool = pool;
+    this.time = time;
+    this.whenDone = whenDone;
+  }
+
+  /** Runs the exchange up to the answer's head, and to its end if the answer is small. */
+  Outcome<CallResponse> run() {
+    try {
+      ClassicHttpRequest request = toHttp(call.request());
+      send(request);
+      ClassicHttpResponse response = receiveHead(request);
+      return toOutcome(request, response);
+    } catch (SocketTimeoutException e) {
+      return broken(ResultCode.DEADLINE_AFTER_START, "the target did not answer in time");
+    } catch (IOException | HttpException | RuntimeException e) {
+      // The request was committed, so whatever went wrong, it may have run, and its slot is given
+      // back.
+      return broken(ResultCode.TARGET_BROKE_OFF, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private Outcome<CallResponse> broken(ResultCode code, String detail) {
+    finish(false);
+    ResultCode actual = call.cancelled() ? ResultCode.DEADLINE_AFTER_START : code;
+    return new Outcome.Unknown<>(actual, detail);
+  }
+
+  private void finish(boolean reusable) {
+    if (done) {
+      return;
+    }
+    done = true;
+    call.clearOnCancel();
+    if (reusable && !call.cancelled()) {
+      pool.release(connection);
+    } else {
+      connection.abort();
+    }
+    whenDone.run();
+  }
+
+  private void send(ClassicHttpRequest request) throws IOException, HttpException {
+    connection.setTimeoutNanos(call.request().deadlineNanos() - time.nanos());
+    connection.sendRequestHeader(request);
+    if (request.getEntity() != null) {
+      connection.sendRequestEntity(request);
+    }
+    connection.flush();
+  }
+
+  private ClassicHttpRequest toHttp(CallRequest request) {
+    BasicClassicHttpRequest http = new BasicClassicHttpRequest(request.method(), request.path());
+    request.headers().forEach(header -> http.addHeader(header.name(), header.value()));
+    long nanosLeft = request.deadlineNanos() - time.nanos();
+    http.setHeader(CallHeaders.TIMEOUT, CallHeaders.formatTimeout(nanosLeft));
+    http.setHeader(CallHeaders.ATTEMPT, Integer.toString(request.attempt()));
+    boolean hasBody = request.bodyLength() != 0 || request.prefix().length > 0;
+    if (hasBody) {
+      setBody(http, request);
+    }
+    return http;
+  }
+
+  private void setBody(BasicClassicHttpRequest http, CallRequest request) {
+    InputStream body = new ByteArrayInputStream(request.prefix());
+    long length = request.bodyLength();
+    if (request.complete()) {
+      length = request.prefix().length;
+    } else {
+      body = new SequenceInputStream(body, call.rest());
+    }
+    boolean chunked = length < 0;
+    http.setEntity(new InputStreamEntity(body, length, null));
+    if (chunked) {
+      http.setHeader("Transfer-Encoding", "chunked");
+    } else {
+      http.setHeader("Content-Length", Long.toString(length));
+    }
+  }
+
+  private ClassicHttpResponse receiveHead(ClassicHttpRequest request)
+      throws IOException, HttpException {
+    connection.setTimeoutNanos(call.request().deadlineNanos() - time.nanos());
+    ClassicHttpResponse response = connection.receiveResponseHeader();
+    while (response.getCode() < 200) {
+      response = connection.receiveResponseHeader();
+    }
+    if (mayHaveBody(request, response)) {
+      connection.receiveResponseEntity(response);
+    }
+    return response;
+  }
+
+  private static boolean mayHaveBody(ClassicHttpRequest request, ClassicHttpResponse response) {
+    int status = response.getCode();
+    return !request.getMethod().equals("HEAD") && status != NO_CONTENT && status != NOT_MODIFIED;
+  }
+
+  private Outcome<CallResponse> toOutcome(ClassicHttpRequest request, ClassicHttpResponse response)
+      throws IOException {
+    boolean keepAlive =
+        DefaultConnectionReuseStrategy.INSTANCE.keepAlive(
+            request, response, HttpCoreContext.create());
+    HttpEntity entity = response.getEntity();
+    if (entity == null) {
+      finish(keepAlive);
+      return answered(response, new CallResponse.Body.Whole(new byte[0]));
+    }
+    InputStream content = entity.getContent();
+    if (entity.getContentLength() > CallResponse.MAX_WHOLE_BYTES) {
+      return answered(response, streamed(content, entity.getContentLength(), keepAlive));
+    }
+    byte[] first = readStart(content, entity.getContentLength());
+    if (first.length <= CallResponse.MAX_WHOLE_BYTES) {
+      checkLength(entity.getContentLength(), first.length);
+      finish(keepAlive);
+      return refusedByContract(response)
+          .orElseGet(() -> answered(response, new CallResponse.Body.Whole(first)));
+    }
+    InputStream all = new SequenceInputStream(new ByteArrayInputStream(first), content);
+    return answered(response, streamed(all, entity.getContentLength(), keepAlive));
+  }
+
+  // Reads a body of known length into an array of just that size, and any other up to one byte more
+  // than may be held back.
+  private static byte[] readStart(InputStream content, long length) throws IOException {
+    if (length < 0) {
+      return content.readNBytes(CallResponse.MAX_WHOLE_BYTES + 1);
+    }
+    byte[] body = content.readNBytes((int) length);
+    if (content.read() >= 0) {
+      throw new IOException("the target sent more than it stated");
+    }
+    return body;
+  }
+
+  private static void checkLength(long stated, int received) throws IOException {
+    if (stated >= 0 && stated != received) {
+      throw new IOException("the target stated " + stated + " bytes, but sent " + received);
+    }
+  }
+
+  private Outcome<CallResponse> answered(ClassicHttpResponse response, CallResponse.Body body) {
+    return new Outcome.Answered<>(
+        new CallResponse(response.getCode(), headers(response), body, Optional.empty()));
+  }
+
+  // A target whose contract says so refuses without running the request.
+  private Optional<Outcome<CallResponse>> refusedByContract(ClassicHttpResponse response) {
+    Header mark = response.getFirstHeader(CallHeaders.TARGET_REFUSED);
+    boolean refused =
+        response.getCode() == UNAVAILABLE && mark != null && mark.getValue().equals("not-run");
+    return refused
+        ? Optional.of(new Outcome.NotRun<>(ResultCode.TARGET_SHED, 0, "the target shed the load"))
+        : Optional.empty();
+  }
+
+  private CallResponse.Body streamed(InputStream content, long length, boolean keepAlive) {
+    connection.setTimeoutNanos(BODY_IDLE_NANOS);
+    InputStream watched = new WatchedBody(content, () -> finish(keepAlive), () -> finish(false));
+    return new CallResponse.Body.Streamed(watched, length);
+  }
+
+  private static List<HeaderField> headers(ClassicHttpResponse response) {
+    List<HeaderField> headers = new ArrayList<>();
+    for (Header header : response.getHeaders()) {
+      if (!CONNECTION_HEADERS.contains(header.getName().toLowerCase(Locale.ROOT))) {
+        headers.add(new HeaderField(header.getName(), header.getValue()));
+      }
+    }
+    return List.copyOf(headers);
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -0,0 +1,252 @@
+package org.amaranthmoor.daemon.target;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.caller.CallHeaders;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.daemon.exchange.WatchedBody;
+import org.amaranthmoor.model.IdempotencyKey;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.Admission.Decision;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.KeyLedger;
+
+/**
+ * Stands in front of the target: admits, queues or refuses, and hands over.
+ *
+ * <p>Invariants: a request that is called not run was never written to the target; a request whose
+ * key was not claimed afresh is never handed over. Safe for use by several threads; each request
+ * blocks its own.
+ */
+public final class TargetSide {
+
+  private final Admission admission;
+  private final KeyLedger<StoredAnswer> keys;
+  private final AtomicReference<HomeDuty> duty;
+  private final TargetConnections connections;
+  private final TimeSource time;
+  private final AtomicInteger running = new AtomicInteger();
+
+  /**
+   * Creates a target side.
+   *
+   * @param admission admits by exact load
+   * @param keys remembers idempotency keys
+   * @param duty says which keys may be claimed here
+   * @param connections connections to the target
+   * @param time the time
+   */
+  public TargetSide(
+      Admission admission,
+      KeyLedger<StoredAnswer> keys,
+      AtomicReference<HomeDuty> duty,
+      TargetConnections connections,
+      TimeSource time) {
+    this.admission = admission;
+    this.keys = keys;
+    this.duty = duty;
+    this.connections = connections;
+    this.time = time;
+  }
+
+  /**
+   * Runs a request.
+   *
+   * @param call the request
+   * @return what became of it; a streamed answer holds the slot until it is read or closed
+   */
+  public Outcome<CallResponse> run(InboundCall call) {
+    running.incrementAndGet();
+    Outcome<CallResponse> outcome = runCounted(call);
+    boolean streams =
+        outcome instanceof Outcome.Answered<CallResponse> answered
+            && answered.response().body() instanceof CallResponse.Body.Streamed;
+    if (!streams) {
+      running.decrementAndGet();
+    }
+    return withLoad(outcome);
+  }
+
+  private Outcome<CallResponse> runCounted(InboundCall call) {
+    Optional<IdempotencyKey> key = call.request().key();
+    if (key.isEmpty()) {
+      return runAdmitted(call);
+    }
+    Optional<Outcome<CallResponse>> settled = claim(key.get());
+    if (settled.isPresent()) {
+      return settled.get();
+    }
+    Outcome<CallResponse> outcome = runAdmitted(call);
+    record(key.get(), outcome);
+    return outcome;
+  }
+
+  private Optional<Outcome<CallResponse>> claim(IdempotencyKey key) {
+    return switch (duty.get().vouch(key, time.nanos())) {
+      case NOT_HOME ->
+          notRun(ResultCode.NOT_HOME, "this node is not the home of the key at present");
+      case CANNOT_KNOW -> knownKey(key).or(() -> unknown(ResultCode.KEY_OUTCOME_LOST));
+      case VOUCHED -> toOutcome(keys.claim(key, time.wallMillis()));
+    };
+  }
+
+  private Optional<Outcome<CallResponse>> knownKey(IdempotencyKey key) {
+    return keys.find(key).flatMap(this::toOutcome);
+  }
+
+  private Optional<Outcome<CallResponse>> toOutcome(KeyLedger.Claim<StoredAnswer> claim) {
+    return switch (claim) {
+      case KeyLedger.Claim.Fresh<StoredAnswer> fresh -> Optional.empty();
+      case KeyLedger.Claim.InProgress<StoredAnswer> running -> unknown(ResultCode.KEY_IN_PROGRESS);
+      case KeyLedger.Claim.RanUnknown<StoredAnswer> ran -> unknown(ResultCode.KEY_RAN_UNKNOWN);
+      case KeyLedger.Claim.TooOld<StoredAnswer> old -> unknown(ResultCode.KEY_TOO_OLD);
+      case KeyLedger.Claim.Full<StoredAnswer> full ->
+          notRun(ResultCode.KEY_LEDGER_FULL, "too many keys are remembered");
+      case KeyLedger.Claim.Answered<StoredAnswer> answered ->
+          Optional.of(
+              answered
+                  .answer()
+                  .<Outcome<CallResponse>>map(a -> new Outcome.Answered<>(a.replay()))
+                  .orElseGet(() -> new Outcome.Answered<>(answerNotKept())));
+    };
+  }
+
+  private static CallResponse answerNotKept() {
+    return new CallResponse(
+        ResultCode.KEY_ALREADY_ANSWERED.httpStatus(),
+        List.of(
+            new HeaderField(
+                CallHeaders.CODE, Integer.toString(ResultCode.KEY_ALREADY_ANSWERED.number()))),
+        new CallResponse.Body.Whole(new byte[0]),
+        Optional.empty());
+  }
+
+  private void record(IdempotencyKey key, Outcome<CallResponse> outcome) {
+    switch (outcome) {
+      case Outcome.Answered<CallResponse> answered ->
+          keys.answered(key, StoredAnswer.of(answered.response()));
+      case Outcome.NotRun<CallResponse> notRun -> keys.release(key);
+      case Outcome.Unknown<CallResponse> unknown -> keys.unknown(key);
+    }
+  }
+
+  private Outcome<CallResponse> runAdmitted(InboundCall call) {
+    CallRequest request = call.request();
+    SlotWaiter waiter = new SlotWaiter(request.priority(), request.deadlineNanos());
+    Decision decision = admission.offer(waiter, time.nanos());
+    if (decision instanceof Decision.Queued) {
+      decision = awaitSlot(call, waiter);
+    }
+    return switch (decision) {
+      case Decision.Admitted admitted -> runWithSlot(call);
+      case Decision.Refused refused ->
+          new Outcome.NotRun<>(
+              refused.code(), refused.retryAfterMillis(), "refused by the target side");
+      case Decision.Queued queued -> throw new IllegalStateException("the wait has ended");
+    };
+  }
+
+  private Decision awaitSlot(InboundCall call, SlotWaiter waiter) {
+    call.onCancel(() -> waiter.giveUp(admission, ResultCode.CANCELLED));
+    try {
+      return waiter.await(admission, time.nanos());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return waiter.giveUp(admission, ResultCode.CANCELLED);
+    } finally {
+      call.clearOnCancel();
+    }
+  }
+
+  private Outcome<CallResponse> runWithSlot(InboundCall call) {
+    TargetConnection connection;
+    try {
+      connection = connections.acquire(call.request().idempotent());
+    } catch (IOException e) {
+      admission.release(-1, time.nanos());
+      return new Outcome.NotRun<>(
+          ResultCode.TARGET_UNREACHABLE, 0, "the target does not accept connections");
+    }
+    Optional<ResultCode> obstacle = commit(call);
+    if (obstacle.isPresent()) {
+      connections.release(connection);
+      admission.release(-1, time.nanos());
+      return new Outcome.NotRun<>(obstacle.get(), 0, "not handed over");
+    }
+    long startNanos = time.nanos();
+    call.onCancel(connection::abort);
+    Runnable whenDone = () -> finish(startNanos);
+    return new TargetExchange(call, connection, connections, time, whenDone).run();
+  }
+
+  private void finish(long startNanos) {
+    long now = time.nanos();
+    admission.release(now - startNanos, now);
+  }
+
+  // The last checks before the request is committed; after them only the hand-over follows.
+  private Optional<ResultCode> commit(InboundCall call) {
+    CallRequest request = call.request();
+    if (request.deadlineNanos() <= time.nanos()) {
+      return Optional.of(ResultCode.DEADLINE_BEFORE_START);
+    }
+    boolean vouched =
+        request.key().isEmpty()
+            || duty.get().vouch(request.key().get(), time.nanos()) == HomeDuty.Vouching.VOUCHED;
+    if (!vouched) {
+      return Optional.of(ResultCode.NOT_HOME);
+    }
+    if (!call.handOver().commit()) {
+      return Optional.of(call.cancelled() ? ResultCode.CANCELLED : ResultCode.FENCED);
+    }
+    return Optional.empty();
+  }
+
+  private Outcome<CallResponse> withLoad(Outcome<CallResponse> outcome) {
+    if (!(outcome instanceof Outcome.Answered<CallResponse> answered)) {
+      return outcome;
+    }
+    CallResponse response = answered.response();
+    CallResponse.Body body =
+        response.body() instanceof CallResponse.Body.Streamed streamed
+            ? new CallResponse.Body.Streamed(
+                new WatchedBody(
+                    streamed.stream(), running::decrementAndGet, running::decrementAndGet),
+                streamed.length())
+            : response.body();
+    return new Outcome.Answered<>(
+        new CallResponse(response.status(), response.headers(), body, Optional.of(load())));
+  }
+
+  private static Optional<Outcome<CallResponse>> notRun(ResultCode code, String detail) {
+    return Optional.of(new Outcome.NotRun<>(code, 0, detail));
+  }
+
+  private static Optional<Outcome<CallResponse>> unknown(ResultCode code) {
+    return Optional.of(new Outcome.Unknown<>(code, "an earlier request had this key"));
+  }
+
+  /** {@return the exact load} */
+  public LoadReport load() {
+    return admission.load();
+  }
+
+  /** Refuses new work from now on; requests in progress go on. */
+  public void drain() {
+    admission.drain(time.nanos());
+  }
+
+  /** {@return how many requests are in progress, answers still being read included} */
+  public int running() {
+    return running.get();
+  }
+}
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/LoadGenerator.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/caller/LoadGenerator.java
@@ -172,20 +172,6 @@
     return wrongAnswers.get();
   }
 
-  /**
-   * Counts calls of all kinds by their outcome.
-   *
-   * @param prefix what the outcome starts with
-   * @return how many calls had such an outcome
-   */
-  public long outcomes(String prefix) {
-    return tallies.values().stream()
-        .flatMap(tally -> tally.outcomes.entrySet().stream())
-        .filter(entry -> entry.getKey().startsWith(prefix))
-        .mapToLong(entry -> entry.getValue().get())
-        .sum();
-  }
-
   /**
    * Renders what was served, where and how fast.
    *
