--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/PickPolicy.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/PickPolicy.java
@@ -20,7 +20,7 @@
   record TwoChoices() implements PickPolicy {}
 
   /**
-   * Least expected latency among servers with a free slot, else least occupied.
+   * Least turns to wait, times how much slower the server is than the others.
    *
    * @param drawn servers looked at for a call, at least 2
    * @param zonePenaltyNanos added to the latency of a server in another availability zone
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
@@ -24,7 +24,9 @@
     sent.put(node, 0);
   }
 
-  /** {@return members whose states ride on the next message and counts them as sent} */
+  /**
+   * Counts some states as sent and returns their members, whose states ride on the next message.
+   */
   List<NodeName> next(int limit, int members) {
     if (sent.isEmpty()) {
       return List.of();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -246,9 +246,10 @@
     if (member.node().equals(self.node())) {
       refute(member);
     } else if (member.region().equals(self.region())) {
-      boolean news = keep(member, nowNanos);
-      if (news && spread) {
-        dissemination.add(member.node());
+      if (spread) {
+        take(member, nowNanos);
+      } else {
+        keep(member, nowNanos);
       }
     }
   }
@@ -262,6 +263,7 @@
     }
   }
 
+  // Keeps a state and spreads it if it is news.
   private void take(Member member, long nowNanos) {
     if (keep(member, nowNanos)) {
       dissemination.add(member.node());
