--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/PickPolicy.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/PickPolicy.java
@@ -26,4 +26,12 @@
    * @param zonePenaltyNanos added to the latency of a server in another availability zone
    */
   record HotCold(int drawn, long zonePenaltyNanos) implements PickPolicy {}
+
+  /**
+   * As {@link HotCold}, but servers of other availability zones are asked only after those of the
+   * own zone.
+   *
+   * @param drawn servers looked at for a call, at least 2
+   */
+  record ZoneFirst(int drawn) implements PickPolicy {}
 }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
@@ -34,6 +34,11 @@
     this.ownZone = ownZone;
   }
 
+  /** {@return the way to choose} */
+  public PickPolicy policy() {
+    return policy;
+  }
+
   /**
    * Picks a server.
    *
@@ -65,6 +70,9 @@
                   random,
                   server -> server.stats().reportedOccupancy());
           case PickPolicy.HotCold hotCold -> pickHotCold(hotCold, candidates, nowNanos, random);
+          case PickPolicy.ZoneFirst zoneFirst ->
+              pickHotCold(
+                  new PickPolicy.HotCold(zoneFirst.drawn(), 0), candidates, nowNanos, random);
         });
   }
 
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/HostRoutes.java
@@ -0,0 +1,118 @@
+package org.amaranthmoor.caller;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import org.amaranthmoor.config.ServiceSpec;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.RuleName;
+
+/**
+ * Routes by host and longest path prefix, with rules that may split requests over services.
+ *
+ * <p>Finding a route takes a look-up for each segment of the path, whatever the number of rules.
+ * Immutable; safe for use by several threads if the source of randomness is.
+ */
+public final class HostRoutes implements Router {
+
+  /**
+   * A service that takes a share of a rule's requests.
+   *
+   * @param service the service
+   * @param weight its share, relative to the other weights of the rule; greater than 0
+   */
+  public record Part(ServiceSpec service, int weight) {}
+
+  /**
+   * A rule.
+   *
+   * @param name the rule
+   * @param host the host in lower case, without a port
+   * @param pathPrefix prefix of the path; starts and ends with a slash
+   * @param parts services that take its requests, at least one
+   * @param idempotent whether its requests may be run again
+   * @param priority order in which its requests get a slot
+   * @param timeoutMillis longest time a caller is kept waiting, in milliseconds
+   * @param objectiveMillis time within which an answer counts as in time, in milliseconds
+   * @param maxAttempts most targets that one request may be sent to, at least 1
+   */
+  public record Rule(
+      RuleName name,
+      String host,
+      String pathPrefix,
+      List<Part> parts,
+      boolean idempotent,
+      Priority priority,
+      int timeoutMillis,
+      int objectiveMillis,
+      int maxAttempts) {
+    /** Copies the parts. */
+    public Rule {
+      parts = List.copyOf(parts);
+    }
+  }
+
+  private final Map<String, Map<String, Rule>> byHost = new HashMap<>();
+  private final DoubleSupplier random;
+
+  /**
+   * Creates a table.
+   *
+   * @param rules the rules
+   * @param random gives numbers from 0 to below 1, by which splits are drawn
+   */
+  public HostRoutes(Iterable<Rule> rules, DoubleSupplier random) {
+    for (Rule rule : rules) {
+      byHost.computeIfAbsent(rule.host(), host -> new HashMap<>()).put(rule.pathPrefix(), rule);
+    }
+    this.random = random;
+  }
+
+  @Override
+  public Optional<Route> find(String method, String host, String path) {
+    Map<String, Rule> prefixes = byHost.get(Router.bareHost(host));
+    return prefixes == null
+        ? Optional.empty()
+        : longest(prefixes, Router.barePath(path)).map(this::route);
+  }
+
+  private static Optional<Rule> longest(Map<String, Rule> prefixes, String path) {
+    int end = path.lastIndexOf('/');
+    while (end >= 0) {
+      Rule rule = prefixes.get(path.substring(0, end + 1));
+      if (rule != null) {
+        return Optional.of(rule);
+      }
+      end = end == 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return Optional.empty();
+  }
+
+  private Route route(Rule rule) {
+    return new Route(
+        rule.name(),
+        draw(rule.parts()),
+        rule.idempotent(),
+        rule.priority(),
+        rule.timeoutMillis(),
+        rule.timeoutMillis(),
+        rule.objectiveMillis(),
+        rule.maxAttempts());
+  }
+
+  private ServiceSpec draw(List<Part> parts) {
+    if (parts.size() == 1) {
+      return parts.getFirst().service();
+    }
+    double left = random.getAsDouble() * parts.stream().mapToInt(Part::weight).sum();
+    for (Part part : parts) {
+      left -= part.weight();
+      if (left < 0) {
+        return part.service();
+      }
+    }
+    return parts.getLast().service();
+  }
+}
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RetryPolicy.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RetryPolicy.java
@@ -11,7 +11,7 @@
  */
 public final class RetryPolicy {
 
-  /** Most attempts at one call at one entry side. */
+  /** Most attempts at one call where its rule states none. */
   public static final int MAX_ATTEMPTS = 3;
 
   private RetryPolicy() {}
@@ -26,6 +26,8 @@
    * @param nanosLeft time to the deadline in nanoseconds
    * @param fixedServer whether only one server may run the request
    * @param untried servers not tried yet
+   * @param maxAttempts most attempts that may reach a target
+   * @param answeredFailure whether the target answered, and said that it failed
    */
   public record Facts(
       boolean idempotent,
@@ -34,7 +36,9 @@
       int inheritedAttempt,
       long nanosLeft,
       boolean fixedServer,
-      int untried) {}
+      int untried,
+      int maxAttempts,
+      boolean answeredFailure) {}
 
   /**
    * Decides on another attempt, and takes it from the budget if there is to be one.
@@ -45,19 +49,25 @@
    * @return whether to try again
    */
   public static boolean retries(Outcome<?> outcome, Facts facts, RetryBudget budget) {
-    return allowed(outcome, facts) && budget.tryRetry();
+    return allowed(outcome, facts) && (isFree(outcome) || budget.tryRetry());
+  }
+
+  // A refusal by a node costs the targets nothing, so asking another node draws nothing; only what
+  // a target itself turned away has arrived there.
+  private static boolean isFree(Outcome<?> outcome) {
+    return outcome instanceof Outcome.NotRun<?> notRun && !notRun.code().reachedTarget();
   }
 
   private static boolean allowed(Outcome<?> outcome, Facts facts) {
     boolean room =
-        facts.attempts() < MAX_ATTEMPTS
+        facts.attempts() < facts.maxAttempts()
             && facts.inheritedAttempt() == 0
             && facts.nanosLeft() > 0
             && (facts.fixedServer() || facts.untried() > 0)
             && facts.replayable();
     return room
         && switch (outcome) {
-          case Outcome.Answered<?> answered -> false;
+          case Outcome.Answered<?> answered -> facts.idempotent() && facts.answeredFailure();
           case Outcome.NotRun<?> notRun ->
               facts.fixedServer() ? isPassing(notRun.code()) : notRun.code().elsewhere();
           case Outcome.Unknown<?> unknown -> facts.idempotent() && unknown.code().elsewhere();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/Route.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/Route.java
@@ -14,10 +14,16 @@
  * @param idempotent whether the request may be run again
  * @param priority order in which it gets a slot
  * @param defaultDeadlineMillis deadline if the caller states none, in milliseconds
+ * @param longestMillis longest time the caller is kept waiting whatever it states, in milliseconds
+ * @param objectiveMillis time within which an answer counts as in time, in milliseconds
+ * @param maxAttempts most targets that one request may be sent to, at least 1
  */
 public record Route(
     RuleName rule,
     ServiceSpec service,
     boolean idempotent,
     Priority priority,
-    int defaultDeadlineMillis) {}
+    int defaultDeadlineMillis,
+    int longestMillis,
+    int objectiveMillis,
+    int maxAttempts) {}
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RouteTable.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RouteTable.java
@@ -2,7 +2,6 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.amaranthmoor.config.CallKind;
@@ -18,7 +17,10 @@
  * <p>A rule for the request's host goes before one for any host; among those the longest path
  * prefix wins. A prefix matches whole path segments. Immutable and safe for use by several threads.
  */
-public final class RouteTable {
+public final class RouteTable implements Router {
+
+  /** Longest deadline that is taken over from a caller, in milliseconds. */
+  private static final int MAX_DEADLINE_MILLIS = 3_600_000;
 
   private static final Comparator<RuleSpec> MOST_SPECIFIC_FIRST =
       Comparator.comparing((RuleSpec rule) -> rule.host().isEmpty())
@@ -42,17 +44,10 @@
     this.services = Map.copyOf(services);
   }
 
-  /**
-   * Finds the route of a request.
-   *
-   * @param method the HTTP method
-   * @param host the host header, possibly with a port, or an empty text
-   * @param path the path, possibly with a query
-   * @return the route, or empty if no rule matches
-   */
+  @Override
   public Optional<Route> find(String method, String host, String path) {
-    String bareHost = withoutPort(host).toLowerCase(Locale.ROOT);
-    String barePath = withoutQuery(path);
+    String bareHost = Router.bareHost(host);
+    String barePath = Router.barePath(path);
     for (RuleSpec rule : rules) {
       if (matches(rule, bareHost, barePath)) {
         return Optional.of(toRoute(rule, method, below(rule.pathPrefix(), barePath)));
@@ -85,21 +80,27 @@
       if (kind.matches(method, path)) {
         int deadline =
             kind.deadlineMillis() > 0 ? kind.deadlineMillis() : service.defaultDeadlineMillis();
-        return new Route(rule.name(), service, kind.idempotent(), kind.priority(), deadline);
+        return route(rule, service, kind.idempotent(), kind.priority(), deadline);
       }
     }
     boolean idempotent = NoteParser.idempotentByDefault(method);
-    return new Route(
-        rule.name(), service, idempotent, Priority.NORMAL, service.defaultDeadlineMillis());
-  }
-
-  private static String withoutPort(String host) {
-    int colon = host.lastIndexOf(':');
-    return colon < 0 || host.endsWith("]") ? host : host.substring(0, colon);
+    return route(rule, service, idempotent, Priority.NORMAL, service.defaultDeadlineMillis());
   }
 
-  private static String withoutQuery(String path) {
-    int mark = path.indexOf('?');
-    return mark < 0 ? path : path.substring(0, mark);
+  private static Route route(
+      RuleSpec rule,
+      ServiceSpec service,
+      boolean idempotent,
+      Priority priority,
+      int deadlineMillis) {
+    return new Route(
+        rule.name(),
+        service,
+        idempotent,
+        priority,
+        deadlineMillis,
+        MAX_DEADLINE_MILLIS,
+        service.latencyObjectiveMillis(),
+        RetryPolicy.MAX_ATTEMPTS);
   }
 }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -34,6 +34,14 @@
   TARGET_SHED(112, Kind.NOT_RUN, 503, true),
   /** The node has no configuration yet, or is stopping. */
   NOT_READY(113, Kind.NOT_RUN, 503, false),
+  /** Another target answers at the address of the one that was meant. */
+  TARGET_REPLACED(114, Kind.NOT_RUN, 503, true),
+  /** The target fails most requests and is tried only now and then. */
+  TARGET_FAILING(115, Kind.NOT_RUN, 503, true),
+  /** The target side expects to answer later than the entry side allows it to take. */
+  TOO_LATE_HERE(116, Kind.NOT_RUN, 503, true),
+  /** The target side knows no target that takes requests. */
+  TARGET_ABSENT(117, Kind.NOT_RUN, 503, true),
   /** The connection to the target side was lost after the request may have been handed over. */
   LINK_LOST(201, Kind.UNKNOWN, 502, true),
   /** The deadline passed after the request may have been handed over. */
@@ -48,6 +56,8 @@
   KEY_TOO_OLD(206, Kind.UNKNOWN, 409, false),
   /** An earlier request with this key ran, and its outcome is not known. */
   KEY_RAN_UNKNOWN(207, Kind.UNKNOWN, 409, false),
+  /** The target sent an answer that belongs to another request. */
+  ANSWER_FOREIGN(208, Kind.UNKNOWN, 502, true),
   /** An earlier request with this key was answered; the answer is no longer kept. */
   KEY_ALREADY_ANSWERED(301, Kind.ANSWERED, 409, false),
   /** No rule matches the request's path and host. */
@@ -110,6 +120,11 @@
     return httpStatus;
   }
 
+  /** {@return whether a request that was not run has arrived at a target all the same} */
+  public boolean reachedTarget() {
+    return this == TARGET_SHED || this == TARGET_REPLACED;
+  }
+
   /** {@return whether another target may do better} */
   public boolean elsewhere() {
     return elsewhere;
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
@@ -1,8 +1,11 @@
 package org.amaranthmoor.node;
 
+import java.util.Optional;
 import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.protocol.node.MemberState;
 
@@ -22,6 +25,7 @@
  * @param region its region
  * @param draining whether it refuses new work
  * @param version rises with each change the member makes to its own state
+ * @param serving what its target says that it serves, or empty if that is not known
  */
 public record Member(
     NodeName node,
@@ -32,7 +36,43 @@
     ZoneName zone,
     RegionName region,
     boolean draining,
-    long version) {
+    long version,
+    Optional<Serving> serving) {
+
+  /**
+   * What a target serves.
+   *
+   * @param service the service
+   * @param slots requests it runs at once
+   */
+  public record Serving(ServiceName service, int slots) {}
+
+  /**
+   * Creates the state of a member whose target has said nothing.
+   *
+   * @param node the member
+   * @param incarnation the run of its process
+   * @param liveness whether it is believed alive
+   * @param host its IP address
+   * @param port its TCP port for nodes
+   * @param zone its availability zone
+   * @param region its region
+   * @param draining whether it refuses new work
+   * @param version rises with each change the member makes to its own state
+   */
+  public Member(
+      NodeName node,
+      Incarnation incarnation,
+      Liveness liveness,
+      String host,
+      int port,
+      ZoneName zone,
+      RegionName region,
+      boolean draining,
+      long version) {
+    this(
+        node, incarnation, liveness, host, port, zone, region, draining, version, Optional.empty());
+  }
 
   /** Whether a member is believed alive; a later constant overrides an earlier one. */
   public enum Liveness {
@@ -81,7 +121,8 @@
    * @return the state
    */
   public Member withLiveness(Liveness changed) {
-    return new Member(node, incarnation, changed, host, port, zone, region, draining, version);
+    return new Member(
+        node, incarnation, changed, host, port, zone, region, draining, version, serving);
   }
 
   /** {@return a hash that is equal in every process for equal states} */
@@ -108,6 +149,8 @@
           .setZone(zone.value())
           .setRegion(region.value())
           .setDraining(draining);
+      serving.ifPresent(
+          serves -> message.setService(serves.service().value()).setSlots(serves.slots()));
     }
     return message.build();
   }
@@ -136,7 +179,10 @@
         new ZoneName(message.getZone()),
         new RegionName(message.getRegion()),
         message.getDraining(),
-        message.getVersion());
+        message.getVersion(),
+        Names.isName(message.getService())
+            ? Optional.of(new Serving(new ServiceName(message.getService()), message.getSlots()))
+            : Optional.empty());
   }
 
   private static MemberState.Liveness toMessage(Liveness liveness) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,6 +33,15 @@
   /** Most states in a message that compares whole views, so that it fits a datagram. */
   static final int STATES_PER_SYNC_MESSAGE = 12;
 
+  /** Members that a node introduces itself to at once. */
+  private static final int INTRODUCTIONS = 4;
+
+  /** Members that a change of this node's own state is sent to at once. */
+  private static final int ANNOUNCEMENTS = 12;
+
+  /** Time between two tries to reach a member that counts as dead, in nanoseconds. */
+  private static final long RETRY_DEAD_NANOS = 1_500_000_000L;
+
   /** Time after which a member that is gone is forgotten, in nanoseconds. */
   static final long FORGET_NANOS = 600_000_000_000L;
 
@@ -68,11 +78,13 @@
   private final Dissemination dissemination = new Dissemination();
   private final List<NodeName> pingOrder = new ArrayList<>();
   private Member self;
+  private Optional<Incarnation> overtakenBy = Optional.empty();
   private long configOffset = -1;
   private long viewHash;
   private long nextSequence;
   private long nextPingNanos;
   private long nextSyncNanos;
+  private long nextRetryNanos;
 
   /**
    * Creates a membership that knows only itself.
@@ -109,12 +121,36 @@
    * @param draining whether it refuses new work
    */
   public synchronized void setDraining(boolean draining) {
-    changeSelf(self.liveness(), draining, self.version() + 1);
+    changeSelf(self.liveness(), draining, self.version() + 1, self.serving());
+  }
+
+  /**
+   * Sets what this node's target serves and whether it takes new work; does nothing if that is
+   * known.
+   *
+   * @param serving what it serves, or empty if that is not known
+   * @param draining whether this node refuses new work
+   */
+  public synchronized void setServing(Optional<Member.Serving> serving, boolean draining) {
+    boolean changed = !serving.equals(self.serving()) || draining != self.draining();
+    if (changed) {
+      changeSelf(self.liveness(), draining, self.version() + 1, serving);
+    }
   }
 
   /** Marks this node as leaving; its state is spread until it stops. */
   public synchronized void leave() {
-    changeSelf(Member.Liveness.LEFT, true, self.version() + 1);
+    changeSelf(Member.Liveness.LEFT, true, self.version() + 1, self.serving());
+  }
+
+  /**
+   * Returns an incarnation of this node that others have seen and that is greater than the present
+   * one, as after a start with a clock that was set back.
+   *
+   * @return the incarnation that this node has to exceed, or empty if there is none
+   */
+  public synchronized Optional<Incarnation> overtakenBy() {
+    return overtakenBy.filter(seen -> seen.compareTo(self.incarnation()) > 0);
   }
 
   /**
@@ -123,17 +159,7 @@
    * @param incarnation the incarnation, greater than the present one
    */
   public synchronized void renew(Incarnation incarnation) {
-    self =
-        new Member(
-            self.node(),
-            incarnation,
-            self.liveness(),
-            self.host(),
-            self.port(),
-            self.zone(),
-            self.region(),
-            self.draining(),
-            0);
+    self = selfAs(incarnation, self.liveness(), self.draining(), 0, self.serving());
     put(self);
     dissemination.add(self.node());
   }
@@ -147,22 +173,32 @@
     configOffset = offset;
   }
 
-  private void changeSelf(Member.Liveness liveness, boolean draining, long version) {
-    self =
-        new Member(
-            self.node(),
-            self.incarnation(),
-            liveness,
-            self.host(),
-            self.port(),
-            self.zone(),
-            self.region(),
-            draining,
-            version);
+  private void changeSelf(
+      Member.Liveness liveness, boolean draining, long version, Optional<Member.Serving> serving) {
+    self = selfAs(self.incarnation(), liveness, draining, version, serving);
     put(self);
     dissemination.add(self.node());
   }
 
+  private Member selfAs(
+      Incarnation incarnation,
+      Member.Liveness liveness,
+      boolean draining,
+      long version,
+      Optional<Member.Serving> serving) {
+    return new Member(
+        self.node(),
+        incarnation,
+        liveness,
+        self.host(),
+        self.port(),
+        self.zone(),
+        self.region(),
+        draining,
+        version,
+        serving);
+  }
+
   /**
    * Does what is due.
    *
@@ -182,9 +218,34 @@
       forgetGone(nowNanos);
       randomReachable().ifPresent(member -> out.add(syncRequest(member.host(), member.port())));
     }
+    if (nowNanos >= nextRetryNanos) {
+      nextRetryNanos = nowNanos + RETRY_DEAD_NANOS;
+      randomDead().ifPresent(member -> out.add(wakeUp(member)));
+    }
     return out;
   }
 
+  // States what is believed of the member, so that it refutes.
+  private Outgoing wakeUp(Member dead) {
+    Gossip message =
+        message(Gossip.Kind.SYNC)
+            .addStates(self.toMessage())
+            .addStates(dead.toMessage())
+            .setViewHash(viewHash)
+            .build();
+    return to(dead, message);
+  }
+
+  // A member that was cut off, or that started again knowing nobody, is found again in this way.
+  private Optional<Member> randomDead() {
+    List<Member> dead =
+        members.values().stream()
+            .map(known -> known.member)
+            .filter(member -> member.liveness() == Member.Liveness.DEAD)
+            .toList();
+    return dead.isEmpty() ? Optional.empty() : Optional.of(dead.get(random.nextInt(dead.size())));
+  }
+
   /**
    * Creates the message by which a node that knows an address only introduces itself.
    *
@@ -200,6 +261,49 @@
         message(Gossip.Kind.SYNC).addStates(self.toMessage()).setViewHash(viewHash).build());
   }
 
+  /**
+   * Creates messages by which this node introduces itself to some members, those of its own
+   * availability zone first; each answers with what it knows.
+   *
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> introductions() {
+    return nearestFirst().stream()
+        .limit(INTRODUCTIONS)
+        .map(member -> syncRequest(member.host(), member.port()))
+        .toList();
+  }
+
+  /**
+   * Creates messages that carry this node's own state to some members at once, those of its own
+   * availability zone first; gossip carries it to the others.
+   *
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> announcements() {
+    return nearestFirst().stream()
+        .limit(ANNOUNCEMENTS)
+        .map(member -> to(member, message(Gossip.Kind.ACK).addStates(self.toMessage()).build()))
+        .toList();
+  }
+
+  private List<Member> nearestFirst() {
+    List<Member> others = new ArrayList<>();
+    for (Known known : members.values()) {
+      if (known.member.reachable() && !known.member.node().equals(self.node())) {
+        others.add(known.member);
+      }
+    }
+    Collections.shuffle(others, new Random(random.nextLong()));
+    others.sort(Comparator.comparing(member -> !member.zone().equals(self.zone())));
+    return others;
+  }
+
+  /** {@return a hash of all states known; it changes when any of them does} */
+  public synchronized long viewHash() {
+    return viewHash;
+  }
+
   /**
    * Takes in a message.
    *
@@ -255,11 +359,15 @@
   }
 
   private void refute(Member claimed) {
+    if (claimed.incarnation().compareTo(self.incarnation()) > 0) {
+      overtakenBy = Optional.of(claimed.incarnation());
+      return;
+    }
     boolean aboutThisRun = claimed.incarnation().equals(self.incarnation());
     boolean denied = claimed.liveness() != Member.Liveness.ALIVE;
     boolean leaving = self.liveness() == Member.Liveness.LEFT;
     if (aboutThisRun && denied && !leaving && claimed.version() >= self.version()) {
-      changeSelf(self.liveness(), self.draining(), claimed.version() + 1);
+      changeSelf(self.liveness(), self.draining(), claimed.version() + 1, self.serving());
     }
   }
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -1,28 +1,67 @@
 package org.amaranthmoor.target;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.EnumMap;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.random.RandomGenerator;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.RuleName;
 
 /**
  * Admits, queues or refuses requests to one target by exact knowledge of its load.
  *
- * <p>Invariants: at most {@code slots} requests are admitted and not released; a waiter gets
- * exactly one final decision; a request that cannot be expected to finish before its deadline is
- * refused at once, not later. Waiters are told outside the lock. Safe for use by several threads.
+ * <p>Answers the load pattern of a burst beyond what the target can do: a request that is not
+ * expected to end in time is refused at once, so that it may go elsewhere, and slots go to requests
+ * that can still be in time. Invariants: at most {@link Limits#concurrency()} requests are admitted
+ * and not released; a waiter gets exactly one final decision. Waiters are told outside the lock.
+ * Safe for use by several threads.
  */
 public final class Admission {
 
-  private static final List<Priority> LOWEST_FIRST = List.of(Priority.values()).reversed();
+  /** Weight of a new sample in the smoothed time of all requests. */
   private static final double SERVICE_TIME_WEIGHT = 0.1;
-  private static final long FIRST_SERVICE_TIME_NANOS = 5_000_000L;
+
+  /** First guess where the limits give none: a small request. */
+  private static final double FIRST_SERVICE_TIME_NANOS = 5_000_000.0;
+
+  /** Share of its expected time that a request which is overdue is expected to take still. */
+  private static final double OVERDUE_SHARE = 0.25;
+
+  /** Rules whose service times are remembered at most. */
+  private static final int MAX_RULES = 10_000;
+
+  /**
+   * What the target can do.
+   *
+   * @param slots requests the target may run at once, at least 1
+   * @param queue requests that may wait, at least 0
+   * @param concurrency requests handed over at once, from 1 to the slots; fewer than the slots
+   *     where a target slows down near full
+   * @param firstWorkShare share of the time until its objective that the first request of a rule is
+   *     expected to take; 0 for a small fixed guess
+   */
+  public record Limits(int slots, int queue, int concurrency, double firstWorkShare) {
+    /** Checks the limits. */
+    public Limits {
+      if (slots < 1 || queue < 0) {
+        throw new IllegalArgumentException(
+            "slots must be at least 1 and queueLimit at least 0, but were: "
+                + slots
+                + ", "
+                + queue);
+      }
+      if (concurrency < 1 || concurrency > slots) {
+        throw new IllegalArgumentException(
+            "concurrency must be from 1 to " + slots + ", but was: " + concurrency);
+      }
+    }
+  }
 
   /** Decision on a request. */
   public sealed interface Decision {
@@ -43,12 +82,33 @@
 
   /** A request that may have to wait. */
   public interface Waiter {
+
+    /** Rule of requests whose rule is not known. */
+    RuleName NO_RULE = new RuleName("none");
+
     /** {@return its priority} */
     Priority priority();
 
     /** {@return its deadline in monotonic nanoseconds} */
     long deadlineNanos();
 
+    /** {@return the rule it matched; requests of one rule are expected to take alike} */
+    default RuleName rule() {
+      return NO_RULE;
+    }
+
+    /** {@return until when it has to end to count as in time, in monotonic nanoseconds} */
+    default long objectiveNanos() {
+      return deadlineNanos();
+    }
+
+    /**
+     * {@return until when it has to be expected to end to be taken here, in monotonic nanoseconds}
+     */
+    default long latestEndNanos() {
+      return deadlineNanos();
+    }
+
     /** Tells that the request has a slot, which must be released. */
     void admitted();
 
@@ -60,14 +120,24 @@
     void refused(Decision.Refused refusal);
   }
 
-  private final int slots;
-  private final int queueLimit;
+  private record Queued(Waiter waiter, long number, double guessNanos) {}
+
+  private record Running(double workNanos, double guessNanos, double factor, long endNanos) {}
+
+  private static final Comparator<Queued> ORDER =
+      Comparator.comparing((Queued queued) -> queued.waiter().priority())
+          .thenComparingLong(queued -> queued.waiter().objectiveNanos())
+          .thenComparingLong(Queued::number);
+
   private final RefusalAdvice advice;
-  private final Map<Priority, Deque<Waiter>> queues = new EnumMap<>(Priority.class);
-  private int inFlight;
-  private int queued;
+  private final ServiceTimes times = new ServiceTimes();
+  private final Slowdown slowdown = new Slowdown();
+  private final List<Queued> queue = new ArrayList<>();
+  private final Map<Waiter, Running> running = new HashMap<>();
+  private Limits limits;
+  private long arrivals;
   private double serviceTimeNanos = FIRST_SERVICE_TIME_NANOS;
-  private boolean draining;
+  private Optional<ResultCode> closed = Optional.empty();
 
   /**
    * Creates an admission with nothing in flight.
@@ -78,19 +148,19 @@
    * @param nowNanos the current time
    */
   public Admission(int slots, int queueLimit, RandomGenerator random, long nowNanos) {
-    if (slots < 1 || queueLimit < 0) {
-      throw new IllegalArgumentException(
-          "slots must be at least 1 and queueLimit at least 0, but were: "
-              + slots
-              + ", "
-              + queueLimit);
-    }
-    this.slots = slots;
-    this.queueLimit = queueLimit;
+    this(new Limits(slots, queueLimit, Math.max(1, slots), 0), random, nowNanos);
+  }
+
+  /**
+   * Creates an admission with nothing in flight.
+   *
+   * @param limits what the target can do
+   * @param random source of randomness for the advice to come back
+   * @param nowNanos the current time
+   */
+  public Admission(Limits limits, RandomGenerator random, long nowNanos) {
+    this.limits = limits;
     this.advice = new RefusalAdvice(random, nowNanos);
-    for (Priority priority : Priority.values()) {
-      queues.put(priority, new ArrayDeque<>());
-    }
   }
 
   /**
@@ -111,68 +181,121 @@
   }
 
   private Decision decide(Waiter waiter, long nowNanos, Notices notices) {
-    if (draining) {
-      return refuse(ResultCode.DRAINING, nowNanos);
+    if (closed.isPresent()) {
+      return refuse(closed.get(), nowNanos);
     }
     if (waiter.deadlineNanos() <= nowNanos) {
       return refuse(ResultCode.DEADLINE_BEFORE_START, nowNanos);
     }
-    if (inFlight < slots && queued == 0) {
-      inFlight++;
-      return new Decision.Admitted();
-    }
-    if (!canFinish(waiter, nowNanos)) {
+    Queued arrived = new Queued(waiter, ++arrivals, firstGuess(waiter, nowNanos));
+    boolean free = running.size() < limits.concurrency() && queue.isEmpty();
+    double endNanos =
+        (free ? (double) nowNanos : startNanos(arrived, nowNanos))
+            + expectedNanos(arrived, nowNanos);
+    if (!free && endNanos > waiter.deadlineNanos()) {
       return refuse(ResultCode.OVERLOADED, nowNanos);
     }
-    if (queued >= queueLimit && !displace(waiter.priority(), nowNanos, notices)) {
+    if (endNanos > waiter.latestEndNanos()) {
+      return refuse(ResultCode.TOO_LATE_HERE, nowNanos);
+    }
+    if (free) {
+      start(arrived, nowNanos);
+      return new Decision.Admitted();
+    }
+    if (queue.size() >= limits.queue() && !displace(waiter.priority(), nowNanos, notices)) {
       return refuse(ResultCode.OVERLOADED, nowNanos);
     }
-    queues.get(waiter.priority()).addLast(waiter);
-    queued++;
+    enqueue(arrived);
     return new Decision.Queued();
   }
 
-  private boolean canFinish(Waiter waiter, long nowNanos) {
-    int ahead = 1;
-    for (Priority priority : Priority.values()) {
-      if (priority.compareTo(waiter.priority()) <= 0) {
-        ahead += queues.get(priority).size();
+  private double firstGuess(Waiter waiter, long nowNanos) {
+    double share = limits.firstWorkShare();
+    return share == 0
+        ? FIRST_SERVICE_TIME_NANOS
+        : Math.max(FIRST_SERVICE_TIME_NANOS, share * (double) (waiter.objectiveNanos() - nowNanos));
+  }
+
+  private double expectedNanos(Queued request, long nowNanos) {
+    return workNanos(request, nowNanos) * slowdown.expected(nowNanos);
+  }
+
+  private double workNanos(Queued request, long nowNanos) {
+    return times.expectedNanos(request.waiter().rule(), request.guessNanos(), nowNanos);
+  }
+
+  // When a slot is expected to be free for the request, after those that go before it.
+  private double startNanos(Queued request, long nowNanos) {
+    PriorityQueue<Double> freeNanos = new PriorityQueue<>();
+    for (Running run : running.values()) {
+      double overdueNanos = nowNanos + OVERDUE_SHARE * run.workNanos() * run.factor();
+      freeNanos.add(Math.max((double) run.endNanos(), overdueNanos));
+    }
+    while (freeNanos.size() < limits.concurrency()) {
+      freeNanos.add((double) nowNanos);
+    }
+    for (Queued other : queue) {
+      if (ORDER.compare(other, request) < 0) {
+        freeNanos.add(freeNanos.remove() + expectedNanos(other, nowNanos));
       }
     }
-    double startNanos = serviceTimeNanos * ahead / slots;
-    return nowNanos + startNanos + serviceTimeNanos <= waiter.deadlineNanos();
+    return freeNanos.remove();
+  }
+
+  private void start(Queued request, long nowNanos) {
+    double factor = slowdown.expected(nowNanos);
+    double work = workNanos(request, nowNanos);
+    long endNanos = nowNanos + (long) (work * factor);
+    running.put(request.waiter(), new Running(work, request.guessNanos(), factor, endNanos));
+  }
+
+  private void enqueue(Queued request) {
+    int index = queue.size();
+    while (index > 0 && ORDER.compare(request, queue.get(index - 1)) < 0) {
+      index--;
+    }
+    queue.add(index, request);
   }
 
   // Refuses the newest waiter of the lowest priority below the given one.
   private boolean displace(Priority priority, long nowNanos, Notices notices) {
-    for (Priority lowest : LOWEST_FIRST) {
-      Waiter last = lowest.compareTo(priority) > 0 ? queues.get(lowest).pollLast() : null;
-      if (last != null) {
-        queued--;
-        notices.refuse(last, refuse(ResultCode.OVERLOADED, nowNanos));
-        return true;
-      }
+    if (queue.isEmpty()) {
+      return false;
+    }
+    Priority lowest = queue.getLast().waiter().priority();
+    if (lowest.compareTo(priority) <= 0) {
+      return false;
     }
-    return false;
+    Queued newest =
+        queue.stream()
+            .filter(queued -> queued.waiter().priority() == lowest)
+            .max(Comparator.comparingLong(Queued::number))
+            .orElseThrow();
+    queue.remove(newest);
+    notices.refuse(newest.waiter(), refuse(ResultCode.OVERLOADED, nowNanos));
+    return true;
   }
 
   private Decision.Refused refuse(ResultCode code, long nowNanos) {
-    long drainNanos = (long) (serviceTimeNanos * (queued + 1) / slots);
+    long drainNanos = (long) (serviceTimeNanos * (queue.size() + 1) / limits.concurrency());
     return new Decision.Refused(code, advice.onRefused(drainNanos, nowNanos));
   }
 
   /**
-   * Gives a slot back and admits the next waiter that can still finish.
+   * Gives a slot back and admits the next waiters that can still finish.
    *
+   * @param waiter the request that had the slot
    * @param heldNanos how long the slot was held, or a negative number if the target was not used
    * @param nowNanos the current time
    */
-  public void release(long heldNanos, long nowNanos) {
+  public void release(Waiter waiter, long heldNanos, long nowNanos) {
     Notices notices = new Notices();
     synchronized (this) {
-      inFlight--;
-      if (heldNanos >= 0) {
+      Running run = running.remove(waiter);
+      if (heldNanos >= 0 && run != null) {
         serviceTimeNanos += SERVICE_TIME_WEIGHT * (heldNanos - serviceTimeNanos);
+        times.onServed(waiter.rule(), heldNanos / run.factor(), run.guessNanos(), nowNanos);
+        times.retainIfLarge(MAX_RULES);
         advice.onServed(nowNanos);
       }
       admitNext(nowNanos, notices);
@@ -181,26 +304,46 @@
   }
 
   private void admitNext(long nowNanos, Notices notices) {
-    while (inFlight < slots && queued > 0) {
-      Waiter next = pollNext();
-      if (next.deadlineNanos() <= nowNanos) {
-        notices.refuse(next, refuse(ResultCode.DEADLINE_BEFORE_START, nowNanos));
-      } else {
-        inFlight++;
-        notices.admit(next);
+    while (running.size() < limits.concurrency() && !queue.isEmpty()) {
+      refuseHopeless(nowNanos, notices);
+      Optional<Queued> next = next(nowNanos);
+      if (next.isEmpty()) {
+        return;
       }
+      queue.remove(next.get());
+      start(next.get(), nowNanos);
+      notices.admit(next.get().waiter());
     }
   }
 
-  private Waiter pollNext() {
-    for (Deque<Waiter> queue : queues.values()) {
-      Waiter next = queue.pollFirst();
-      if (next != null) {
-        queued--;
-        return next;
+  private void refuseHopeless(long nowNanos, Notices notices) {
+    for (Queued queued : List.copyOf(queue)) {
+      if (queued.waiter().deadlineNanos() <= nowNanos) {
+        queue.remove(queued);
+        Decision.Refused refusal = refuse(ResultCode.DEADLINE_BEFORE_START, nowNanos);
+        notices.refuse(queued.waiter(), refusal);
       }
     }
-    throw new IllegalStateException("queued is " + queued + ", but every queue is empty");
+  }
+
+  // The first that can be in time; if none can, the first.
+  private Optional<Queued> next(long nowNanos) {
+    return queue.stream()
+        .filter(
+            queued ->
+                nowNanos + expectedNanos(queued, nowNanos) <= queued.waiter().objectiveNanos())
+        .findFirst()
+        .or(() -> queue.stream().findFirst());
+  }
+
+  /**
+   * Takes in how much longer work takes at the target at this moment.
+   *
+   * @param factor 1 for the usual speed, 4 if work takes four times as long
+   * @param nowNanos the current time
+   */
+  public synchronized void onSlowdown(double factor, long nowNanos) {
+    slowdown.onReport(factor, nowNanos);
   }
 
   /**
@@ -210,11 +353,7 @@
    * @return whether it was still waiting; if not, it was told or is being told its decision
    */
   public synchronized boolean withdraw(Waiter waiter) {
-    boolean removed = queues.get(waiter.priority()).remove(waiter);
-    if (removed) {
-      queued--;
-    }
-    return removed;
+    return queue.removeIf(queued -> queued.waiter().equals(waiter));
   }
 
   /**
@@ -223,19 +362,41 @@
    * @param nowNanos the current time
    */
   public void drain(long nowNanos) {
+    close(ResultCode.DRAINING, nowNanos);
+  }
+
+  /**
+   * Refuses all waiters and everything that arrives until {@link #open}.
+   *
+   * @param code why
+   * @param nowNanos the current time
+   */
+  public void close(ResultCode code, long nowNanos) {
     Notices notices = new Notices();
     synchronized (this) {
-      draining = true;
-      while (queued > 0) {
-        notices.refuse(pollNext(), refuse(ResultCode.DRAINING, nowNanos));
+      closed = Optional.of(code);
+      for (Queued queued : queue) {
+        notices.refuse(queued.waiter(), refuse(code, nowNanos));
       }
+      queue.clear();
     }
     notices.deliver();
   }
 
+  /**
+   * Admits requests again.
+   *
+   * @param changed what the target can do
+   */
+  public synchronized void open(Limits changed) {
+    limits = changed;
+    closed = Optional.empty();
+  }
+
   /** {@return the exact load at this moment} */
   public synchronized LoadReport load() {
-    return new LoadReport(inFlight, queued, slots, (long) serviceTimeNanos, draining);
+    return new LoadReport(
+        running.size(), queue.size(), limits.slots(), (long) serviceTimeNanos, closed.isPresent());
   }
 
   // Collects what waiters are to be told, so that they are told outside the lock.
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
@@ -149,6 +149,25 @@
     return value.get();
   }
 
+  /**
+   * Reads a whole number that must be present and must not be written as a text.
+   *
+   * @param key the key
+   * @param min the least value, returned after a problem
+   * @param max the greatest value
+   * @return the number
+   */
+  public long bareNumber(String key, long min, long max) {
+    YamlNode.Entry entry = mapping.entries().get(key);
+    boolean bare = entry != null && entry.value() instanceof YamlNode.Scalar s && !s.quoted();
+    if (!bare) {
+      known.add(key);
+      problem(key, "expected a whole number from " + min + " to " + max);
+      return min;
+    }
+    return number(key, min, min, max);
+  }
+
   /**
    * Reads a number within bounds, or a default if the key is absent.
    *
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlNode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlNode.java
@@ -18,8 +18,9 @@
    *
    * @param line the line, counted from 1
    * @param text the text; empty for null
+   * @param quoted whether the document marks it as a text
    */
-  record Scalar(int line, String text) implements YamlNode {}
+  record Scalar(int line, String text, boolean quoted) implements YamlNode {}
 
   /**
    * A list.
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlReader.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlReader.java
@@ -8,11 +8,13 @@
 import tools.jackson.core.JsonParser;
 import tools.jackson.core.JsonToken;
 import tools.jackson.core.ObjectReadContext;
+import tools.jackson.core.TokenStreamFactory;
 import tools.jackson.core.TokenStreamLocation;
+import tools.jackson.core.json.JsonFactory;
 import tools.jackson.dataformat.yaml.YAMLFactory;
 
 /**
- * Reads one YAML document into nodes that know their lines.
+ * Reads one YAML or JSON document into nodes that know their lines.
  *
  * <p>Refuses repeated keys, a second document and anything nested deeper than {@value #MAX_DEPTH}.
  * Stateless and safe for use by several threads.
@@ -22,7 +24,14 @@
   /** The most levels of nesting. */
   static final int MAX_DEPTH = 16;
 
-  private static final YAMLFactory FACTORY = new YAMLFactory();
+  // Made on first use, because a process that reads only one of the formats starts sooner.
+  private static final class Yaml {
+    private static final TokenStreamFactory FACTORY = new YAMLFactory();
+  }
+
+  private static final class Json {
+    private static final TokenStreamFactory FACTORY = new JsonFactory();
+  }
 
   private YamlReader() {}
 
@@ -33,8 +42,23 @@
    * @return the root, or the problems
    */
   public static Parsed<YamlNode.Mapping> read(String text) {
+    return read(Yaml.FACTORY, "YAML", text);
+  }
+
+  /**
+   * Reads a JSON document whose root is an object.
+   *
+   * @param text the document
+   * @return the root, or the problems
+   */
+  public static Parsed<YamlNode.Mapping> readJson(String text) {
+    return read(Json.FACTORY, "JSON", text);
+  }
+
+  private static Parsed<YamlNode.Mapping> read(
+      TokenStreamFactory factory, String format, String text) {
     List<Problem> problems = new ArrayList<>();
-    try (JsonParser parser = FACTORY.createParser(ObjectReadContext.empty(), text)) {
+    try (JsonParser parser = factory.createParser(ObjectReadContext.empty(), text)) {
       JsonToken first = parser.nextToken();
       if (first != JsonToken.START_OBJECT) {
         return new Parsed.Invalid<>(
@@ -46,7 +70,7 @@
       }
       return problems.isEmpty() ? new Parsed.Valid<>(root) : new Parsed.Invalid<>(problems);
     } catch (JacksonException e) {
-      problems.add(new Problem(lineOf(e), "", "not valid YAML: " + firstLine(e)));
+      problems.add(new Problem(lineOf(e), "", "not valid " + format + ": " + firstLine(e)));
       return new Parsed.Invalid<>(problems);
     }
   }
@@ -58,7 +82,7 @@
       problems.add(new Problem(line(parser), path, "nested deeper than " + MAX_DEPTH + " levels"));
       int line = line(parser);
       parser.skipChildren();
-      return new YamlNode.Scalar(line, "");
+      return new YamlNode.Scalar(line, "", false);
     }
     if (token == JsonToken.START_OBJECT) {
       return readMapping(parser, path, depth, problems);
@@ -67,7 +91,7 @@
       return readSequence(parser, path, depth, problems);
     }
     String text = token == JsonToken.VALUE_NULL ? "" : parser.getString();
-    return new YamlNode.Scalar(line(parser), text);
+    return new YamlNode.Scalar(line(parser), text, token == JsonToken.VALUE_STRING);
   }
 
   private static YamlNode.Mapping readMapping(
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/RetryPolicyTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/RetryPolicyTests.java
@@ -14,7 +14,8 @@
 class RetryPolicyTests {
 
   private static RetryPolicy.Facts facts(boolean idempotent) {
-    return new RetryPolicy.Facts(idempotent, true, 1, 0, 1_000, false, 2);
+    return new RetryPolicy.Facts(
+        idempotent, true, 1, 0, 1_000, false, 2, RetryPolicy.MAX_ATTEMPTS, false);
   }
 
   private static RetryBudget budget() {
@@ -70,7 +71,16 @@
   void nothingIsRepeatedWithoutRoom(
       boolean replayable, int attempts, int inherited, long nanosLeft, int untried) {
     RetryPolicy.Facts facts =
-        new RetryPolicy.Facts(true, replayable, attempts, inherited, nanosLeft, false, untried);
+        new RetryPolicy.Facts(
+            true,
+            replayable,
+            attempts,
+            inherited,
+            nanosLeft,
+            false,
+            untried,
+            RetryPolicy.MAX_ATTEMPTS,
+            false);
 
     assertFalse(RetryPolicy.retries(outcome(ResultCode.OVERLOADED), facts, budget()));
   }
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionTests.java
@@ -20,6 +20,7 @@
   private static final long FAR = 60_000 * MILLI;
 
   private final Admission admission = new Admission(2, 3, new SplittableRandom(1), 0);
+  private final List<RecordingWaiter> running = new ArrayList<>();
 
   /** Records what it is told. */
   private static final class RecordingWaiter implements Admission.Waiter {
@@ -64,8 +65,11 @@
   }
 
   private void fillSlots() {
-    assertInstanceOf(Decision.Admitted.class, admission.offer(waiter(Priority.NORMAL), 0));
-    assertInstanceOf(Decision.Admitted.class, admission.offer(waiter(Priority.NORMAL), 0));
+    for (int i = 0; i < 2; i++) {
+      RecordingWaiter waiter = waiter(Priority.NORMAL);
+      assertInstanceOf(Decision.Admitted.class, admission.offer(waiter, 0));
+      running.add(waiter);
+    }
   }
 
   @Test
@@ -91,8 +95,8 @@
       RecordingWaiter first = queued(Priority.CRITICAL);
       RecordingWaiter second = queued(Priority.CRITICAL);
 
-      admission.release(MILLI, MILLI);
-      admission.release(MILLI, MILLI);
+      admission.release(running.removeFirst(), MILLI, MILLI);
+      admission.release(running.removeFirst(), MILLI, MILLI);
 
       assertEquals(1, first.told.size());
       assertEquals(1, second.told.size());
@@ -134,7 +138,7 @@
       RecordingWaiter late = new RecordingWaiter(Priority.NORMAL, 50 * MILLI);
       assertInstanceOf(Decision.Queued.class, admission.offer(late, 0));
 
-      admission.release(MILLI, 60 * MILLI);
+      admission.release(running.removeFirst(), MILLI, 60 * MILLI);
 
       Decision.Refused refused = assertInstanceOf(Decision.Refused.class, late.told.getFirst());
       assertEquals(ResultCode.DEADLINE_BEFORE_START, refused.code());
@@ -146,7 +150,7 @@
       RecordingWaiter waiter = queued(Priority.NORMAL);
 
       assertTrue(admission.withdraw(waiter));
-      admission.release(MILLI, MILLI);
+      admission.release(running.removeFirst(), MILLI, MILLI);
 
       assertEquals(List.of(), waiter.told);
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -18,6 +18,8 @@
 import org.amaranthmoor.daemon.caller.CallerHandler;
 import org.amaranthmoor.daemon.caller.EntrySide;
 import org.amaranthmoor.daemon.caller.EntryViews;
+import org.amaranthmoor.daemon.caller.NoteDeployment;
+import org.amaranthmoor.daemon.caller.OwnCallerDialect;
 import org.amaranthmoor.daemon.caller.TargetAccess;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.log.EventLog;
@@ -39,7 +41,9 @@
 import org.amaranthmoor.daemon.platform.PeerStateReader;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.daemon.settings.NodeSettings;
+import org.amaranthmoor.daemon.target.FixedTarget;
 import org.amaranthmoor.daemon.target.LeaseKeeper;
+import org.amaranthmoor.daemon.target.OwnTargetDialect;
 import org.amaranthmoor.daemon.target.StoredAnswer;
 import org.amaranthmoor.daemon.target.TargetConnections;
 import org.amaranthmoor.daemon.target.TargetSide;
@@ -125,13 +129,13 @@
             self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
     this.duty = new AtomicReference<>(new HomeDuty(homeMember()));
     this.targetSide = createTargetSide();
-    this.views = new EntryViews(settings.zone(), membership, time);
+    this.views = new EntryViews(settings.zone(), EntryViews.Policies.standard(), time);
     this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
     NodeQueries queries =
         new NodeQueries(settings, identity, holder, duty, targetSide, views, time);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
-    EntrySide entrySide = new EntrySide(views, access, links, metrics, time);
-    this.callerHandler = new CallerHandler(views, entrySide, time);
+    EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time);
+    this.callerHandler = new CallerHandler(views, entrySide, new OwnCallerDialect(time), time);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
     this.announcer = new Announcer(settings, identity, platformLog, log);
@@ -187,8 +191,17 @@
             RandomGenerator.getDefault(),
             time.nanos());
     KeyLedger<StoredAnswer> keys = new KeyLedger<>(MAX_KEYS, MAX_ANSWER_BYTES, StoredAnswer::bytes);
-    TargetConnections connections = new TargetConnections(settings.target(), time);
-    return new TargetSide(admission, keys, duty, connections, time);
+    NodeSettings.TargetSettings target = settings.target();
+    TargetConnections connections =
+        new TargetConnections(target.connections(), target.idleMillis(), time);
+    return new TargetSide(
+        admission,
+        keys,
+        duty,
+        new FixedTarget(target.address()),
+        new OwnTargetDialect(),
+        connections,
+        time);
   }
 
   private InetSocketAddress address(int port) {
@@ -269,7 +282,7 @@
     state.announced().values().forEach(announced -> membership.learn(toMember(announced)));
     membership.setConfigOffset(state.offset());
     takeHomes(state, contiguous);
-    views.rebuild(state);
+    views.rebuild(new NoteDeployment(state, membership));
   }
 
   private void takeHomes(ClusterState state, boolean contiguous) {
@@ -315,7 +328,7 @@
     duty.get().onLogRead(startedNanos);
   }
 
-  private void onPeerOffset(long offset) {
+  private void onPeerOffset(String node, long offset) {
     if (offset > holder.current().offset() && !follower.available()) {
       executor.execute(this::readStateFromPeer);
     }
@@ -345,13 +358,18 @@
 
   private void tick() {
     guarded(gossip::tick);
+    guarded(
+        () ->
+            links
+                .supervise()
+                .forEach(address -> log.warn("link-silent", () -> "peer=" + address.node())));
   }
 
   private void slowTick() {
     guarded(
         () -> {
           ClusterState state = holder.current();
-          views.rebuild(state);
+          views.rebuild(new NoteDeployment(state, membership));
           executor.execute(this::announceIfMissing);
           leaseKeeper.askAll();
           evictor.due(state).forEach(this::evict);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
@@ -4,19 +4,15 @@
 import java.io.InputStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
-import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.HeaderField;
-import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.Outcome;
-import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
-import org.amaranthmoor.target.KeyLedger;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
@@ -28,10 +24,7 @@
  */
 final class CallReader {
 
-  /** Longest deadline that is taken over from a caller. */
-  private static final Duration MAX_DEADLINE = Duration.ofHours(1);
-
-  private static final Set<String> NOT_FORWARDED =
+  private static final Set<String> CONNECTION_HEADERS =
       Set.of(
           "connection",
           "keep-alive",
@@ -41,13 +34,13 @@
           "te",
           "trailer",
           "upgrade",
-          "expect",
-          "grpc-timeout",
-          "amaranthmoor-attempt");
+          "expect");
 
+  private final CallerDialect dialect;
   private final TimeSource time;
 
-  CallReader(TimeSource time) {
+  CallReader(CallerDialect dialect, TimeSource time) {
+    this.dialect = dialect;
     this.time = time;
   }
 
@@ -61,32 +54,19 @@
   }
 
   Reading read(ClassicHttpRequest http, Route route) throws IOException {
-    Optional<Duration> wait = deadline(http);
-    boolean stated = http.containsHeader(CallHeaders.TIMEOUT);
-    if (stated && wait.isEmpty()) {
-      return wrong(CallHeaders.TIMEOUT + " must be digits and one of H, M, S, m, u, n");
-    }
-    Optional<IdempotencyKey> key =
-        header(http, CallHeaders.IDEMPOTENCY_KEY).flatMap(IdempotencyKey::parse);
-    if (!route.idempotent() && http.containsHeader(CallHeaders.IDEMPOTENCY_KEY)) {
-      if (key.isEmpty()) {
-        return wrong(CallHeaders.IDEMPOTENCY_KEY + " must be a UUID of version 7");
-      }
-      if (key.get().madeAtMillis() > time.wallMillis() + KeyLedger.MAX_CLOCK_SKEW_MILLIS) {
-        return wrong(CallHeaders.IDEMPOTENCY_KEY + " was made in the future");
-      }
-    }
-    return new Reading.Call(toCall(http, route, wait, route.idempotent() ? Optional.empty() : key));
+    return switch (dialect.read(http, route)) {
+      case CallerDialect.Reading.Wrong wrong -> new Reading.Wrong(wrong.refusal());
+      case CallerDialect.Reading.Stated stated ->
+          new Reading.Call(toCall(http, route, stated.facts()));
+    };
   }
 
-  private static Reading wrong(String detail) {
-    return new Reading.Wrong(new Outcome.NotRun<>(ResultCode.BAD_HEADER, 0, detail));
-  }
-
-  private CallRequest toCall(
-      ClassicHttpRequest http, Route route, Optional<Duration> wait, Optional<IdempotencyKey> key)
+  private CallRequest toCall(ClassicHttpRequest http, Route route, CallerDialect.Facts facts)
       throws IOException {
-    long waitNanos = wait.orElse(Duration.ofMillis(route.defaultDeadlineMillis())).toNanos();
+    long nowNanos = time.nanos();
+    Duration longest = Duration.ofMillis(route.longestMillis());
+    Duration wait = facts.timeout().orElse(Duration.ofMillis(route.defaultDeadlineMillis()));
+    long waitNanos = Math.min(wait.toNanos(), longest.toNanos());
     HttpEntity entity = http.getEntity();
     long length = entity == null ? 0 : entity.getContentLength();
     byte[] prefix = entity == null ? new byte[0] : readPrefix(entity.getContent());
@@ -99,45 +79,46 @@
         http.getMethod(),
         http.getRequestUri(),
         forwarded(http),
-        time.nanos() + Math.min(waitNanos, MAX_DEADLINE.toNanos()),
-        attempt(http),
+        nowNanos + waitNanos,
+        facts.attempt(),
         route.idempotent(),
         route.priority(),
-        key,
+        facts.key(),
         prefix,
         complete,
-        complete ? prefix.length : length);
+        complete ? prefix.length : length,
+        facts.id(),
+        route.rule(),
+        nowNanos + Duration.ofMillis(route.objectiveMillis()).toNanos(),
+        route.maxAttempts(),
+        0);
   }
 
   private static byte[] readPrefix(InputStream body) throws IOException {
     return body.readNBytes(CallRequest.MAX_PREFIX_BYTES);
   }
 
-  private static Optional<Duration> deadline(ClassicHttpRequest http) {
-    Optional<String> timeout = header(http, CallHeaders.TIMEOUT);
-    if (timeout.isPresent()) {
-      return CallHeaders.parseTimeout(timeout.get());
-    }
-    return header(http, CallHeaders.PREFER).flatMap(CallHeaders::parsePreferWait);
-  }
-
-  private static int attempt(ClassicHttpRequest http) {
-    String text = header(http, CallHeaders.ATTEMPT).orElse("1");
-    boolean plain = text.length() <= 4 && text.chars().allMatch(c -> c >= '0' && c <= '9');
-    return plain && !text.isEmpty() ? Math.max(1, Integer.parseInt(text)) : 1;
-  }
-
-  private static Optional<String> header(ClassicHttpRequest http, String name) {
-    return Optional.ofNullable(http.getFirstHeader(name)).map(Header::getValue);
-  }
-
-  private static List<HeaderField> forwarded(ClassicHttpRequest http) {
+  private List<HeaderField> forwarded(ClassicHttpRequest http) {
+    Set<String> ofConnection = namedByConnection(http);
     List<HeaderField> fields = new ArrayList<>();
     for (Header header : http.getHeaders()) {
-      if (!NOT_FORWARDED.contains(header.getName().toLowerCase(Locale.ROOT))) {
+      String name = header.getName().toLowerCase(Locale.ROOT);
+      boolean passes = !CONNECTION_HEADERS.contains(name) && !ofConnection.contains(name);
+      if (passes && dialect.forwards(name)) {
         fields.add(new HeaderField(header.getName(), header.getValue()));
       }
     }
+    fields.addAll(dialect.added());
     return List.copyOf(fields);
   }
+
+  private static Set<String> namedByConnection(ClassicHttpRequest http) {
+    Set<String> names = new HashSet<>();
+    for (Header header : http.getHeaders("Connection")) {
+      for (String name : header.getValue().split(",", -1)) {
+        names.add(name.trim().toLowerCase(Locale.ROOT));
+      }
+    }
+    return names;
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -2,10 +2,8 @@
 
 import java.io.IOException;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.balance.Server;
-import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -22,7 +20,6 @@
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.InputStreamEntity;
-import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
@@ -33,26 +30,38 @@
  */
 public final class CallerHandler implements HttpServerRequestHandler {
 
-  private static final long MIN_RETRY_AFTER_MILLIS = 100;
-  private static final long RETRY_AFTER_SPREAD_MILLIS = 900;
-  private static final long MILLIS_PER_SECOND = 1_000;
-
   private final EntryViews views;
   private final EntrySide entrySide;
   private final CallReader reader;
+  private final CallerDialect dialect;
   private final AtomicInteger inProgress = new AtomicInteger();
+  private volatile boolean closing;
+  private volatile boolean refusing;
 
   /**
    * Creates a handler.
    *
    * @param views what calls are routed by
    * @param entrySide serves calls
+   * @param dialect how callers state calls and are told their ends
    * @param time the time
    */
-  public CallerHandler(EntryViews views, EntrySide entrySide, TimeSource time) {
+  public CallerHandler(
+      EntryViews views, EntrySide entrySide, CallerDialect dialect, TimeSource time) {
     this.views = views;
     this.entrySide = entrySide;
-    this.reader = new CallReader(time);
+    this.dialect = dialect;
+    this.reader = new CallReader(dialect, time);
+  }
+
+  /** Asks callers from now on to close their connections after the answer. */
+  public void closeConnections() {
+    closing = true;
+  }
+
+  /** Refuses calls that arrive from now on; those in progress go on. */
+  public void refuseNew() {
+    refusing = true;
   }
 
   /** {@return how many calls are in progress} */
@@ -66,9 +75,9 @@
     inProgress.incrementAndGet();
     try {
       Optional<EntryView> view = views.current();
-      if (view.isEmpty()) {
-        trigger.submitResponse(
-            refusal(new Outcome.NotRun<>(ResultCode.NOT_READY, 0, "no configuration yet")));
+      if (view.isEmpty() || refusing) {
+        String detail = refusing ? "the node is stopping" : "no configuration yet";
+        submitLast(trigger, dialect.refusal(new Outcome.NotRun<>(ResultCode.NOT_READY, 0, detail)));
         return;
       }
       handleRouted(http, trigger, context, view.get());
@@ -77,6 +86,12 @@
     }
   }
 
+  private static void submitLast(ResponseTrigger trigger, ClassicHttpResponse response)
+      throws HttpException, IOException {
+    response.setHeader("Connection", "close");
+    trigger.submitResponse(response);
+  }
+
   private void handleRouted(
       ClassicHttpRequest http, ResponseTrigger trigger, HttpContext context, EntryView view)
       throws HttpException, IOException {
@@ -84,11 +99,13 @@
         view.routes().find(http.getMethod(), hostOf(http), http.getRequestUri());
     if (route.isEmpty()) {
       trigger.submitResponse(
-          refusal(new Outcome.NotRun<>(ResultCode.NO_RULE, 0, "no rule matches this path")));
+          dialect.refusal(
+              new Outcome.NotRun<>(ResultCode.NO_RULE, 0, "no rule matches this path")));
       return;
     }
     switch (reader.read(http, route.get())) {
-      case CallReader.Reading.Wrong wrong -> trigger.submitResponse(refusal(wrong.refusal()));
+      case CallReader.Reading.Wrong wrong ->
+          trigger.submitResponse(dialect.refusal(wrong.refusal()));
       case CallReader.Reading.Call call -> serve(call.request(), http, trigger, context);
     }
   }
@@ -102,11 +119,11 @@
         switch (served.outcome()) {
           case Outcome.Answered<CallResponse> answered ->
               answer(answered.response(), served.server(), http);
-          case Outcome.NotRun<CallResponse> notRun -> refusal(notRun);
-          case Outcome.Unknown<CallResponse> unknown -> unknown(unknown);
+          case Outcome.NotRun<CallResponse> notRun -> dialect.refusal(notRun);
+          case Outcome.Unknown<CallResponse> unknown -> dialect.unknown(unknown);
         };
-    if (!caller.bodyEnded(request)) {
-      // The rest of the upload is not read, so the connection cannot carry another request.
+    if (closing || !caller.bodyEnded(request)) {
+      // The rest of an upload that is not read would stand before the next request.
       response.setHeader("Connection", "close");
     }
     submit(trigger, response, served.outcome());
@@ -127,12 +144,11 @@
     trigger.submitResponse(response);
   }
 
-  private static ClassicHttpResponse answer(
+  private ClassicHttpResponse answer(
       CallResponse answer, Optional<Server> server, ClassicHttpRequest http) {
     ClassicHttpResponse response = new BasicClassicHttpResponse(answer.status());
     answer.headers().forEach(header -> response.addHeader(header.name(), header.value()));
-    response.setHeader(CallHeaders.OUTCOME, "answered");
-    server.ifPresent(found -> response.setHeader(CallHeaders.TARGET, found.target().value()));
+    dialect.complete(response, server);
     boolean bodiless =
         http.getMethod().equals("HEAD") || answer.status() == 304 || answer.status() == 204;
     if (!bodiless) {
@@ -147,36 +163,6 @@
     return response;
   }
 
-  private static ClassicHttpResponse refusal(Outcome.NotRun<?> notRun) {
-    boolean invalid = notRun.code().kind() == ResultCode.Kind.INVALID;
-    ClassicHttpResponse response = failure(notRun.code(), "not-run", notRun.detail());
-    if (!invalid) {
-      long millis =
-          notRun.retryAfterMillis() > 0 ? notRun.retryAfterMillis() : defaultRetryAfterMillis();
-      long seconds = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-      response.setHeader(CallHeaders.RETRY_AFTER, Long.toString(seconds));
-      response.setHeader(CallHeaders.RETRY_AFTER_MILLIS, Long.toString(millis));
-    }
-    return response;
-  }
-
-  private static long defaultRetryAfterMillis() {
-    return MIN_RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_AFTER_SPREAD_MILLIS);
-  }
-
-  private static ClassicHttpResponse unknown(Outcome.Unknown<?> unknown) {
-    return failure(unknown.code(), "unknown", unknown.detail());
-  }
-
-  private static ClassicHttpResponse failure(ResultCode code, String outcome, String detail) {
-    ClassicHttpResponse response = new BasicClassicHttpResponse(code.httpStatus());
-    response.setHeader(CallHeaders.OUTCOME, outcome);
-    response.setHeader(CallHeaders.CODE, Integer.toString(code.number()));
-    String text = outcome + " " + code.number() + " " + code + ": " + detail + "\n";
-    response.setEntity(new StringEntity(text, ContentType.TEXT_PLAIN));
-    return response;
-  }
-
   private static String hostOf(ClassicHttpRequest http) {
     if (http.getAuthority() != null) {
       return http.getAuthority().toString();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -2,11 +2,10 @@
 
 import java.io.IOException;
 import java.util.Arrays;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.amaranthmoor.balance.Ejection;
+import org.amaranthmoor.balance.Placement;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.RetryPolicy;
 import org.amaranthmoor.daemon.exchange.CallRequest;
@@ -18,6 +17,7 @@
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.Probe;
 import org.amaranthmoor.target.Homes;
@@ -32,9 +32,20 @@
 public final class EntrySide {
 
   private static final long POLL_NANOS = 50_000_000L;
+
+  /**
+   * Time after a deadline in which the target side's own verdict is awaited, in nanoseconds: a
+   * request that never left its queue was then truly not run.
+   */
+  private static final long VERDICT_GRACE_NANOS = 30_000_000L;
+
+  /** Most servers that one request asks, whether or not they take it. */
+  private static final int MAX_ASKED = 12;
+
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int CHUNK_BYTES = 32 * 1024;
 
+  private final ZoneName ownZone;
   private final EntryViews views;
   private final TargetAccess access;
   private final PeerLinks links;
@@ -44,6 +55,7 @@
   /**
    * Creates an entry side.
    *
+   * @param ownZone this node's availability zone
    * @param views what calls are routed by
    * @param access opens exchanges
    * @param links carries probes
@@ -51,11 +63,13 @@
    * @param time the time
    */
   public EntrySide(
+      ZoneName ownZone,
       EntryViews views,
       TargetAccess access,
       PeerLinks links,
       NodeMetrics metrics,
       TimeSource time) {
+    this.ownZone = ownZone;
     this.views = views;
     this.access = access;
     this.links = links;
@@ -92,19 +106,25 @@
   }
 
   private Served tryServers(CallRequest request, CallerConnection caller, ServiceView service) {
-    Set<Server> tried = new HashSet<>();
+    Placement placement = new Placement(service.servers(), service.picker(), ownZone);
     Served served = new Served(notRun(ResultCode.NO_TARGET, "no target left"), Optional.empty());
-    for (int attempt = 1; attempt <= RetryPolicy.MAX_ATTEMPTS; attempt++) {
-      Optional<Server> server = choose(request, service, tried);
-      if (server.isEmpty()) {
+    int reached = 0;
+    for (int asked = 1; asked <= MAX_ASKED; asked++) {
+      Optional<Placement.Choice> choice = choose(request, service, placement);
+      if (choice.isEmpty()) {
         return served;
       }
-      tried.add(server.get());
-      Attempt tries =
-          new Attempt(request.withAttempt(request.attempt() + attempt - 1), service, server.get());
-      Outcome<CallResponse> outcome = tries.run(caller);
-      served = new Served(atLeastUnknown(served.outcome(), outcome), server);
-      if (!retries(request, service, tried, attempt, tries, outcome)) {
+      Server server = choice.get().server();
+      int number = request.attempt() + reached;
+      Attempt attempt =
+          new Attempt(request.withAttempt(number, choice.get().patiencePercent()), service, server);
+      Outcome<CallResponse> outcome = attempt.run(caller);
+      if (mayHaveReached(outcome)) {
+        reached++;
+        placement.onReached(server);
+      }
+      served = new Served(better(served.outcome(), outcome), Optional.of(server));
+      if (!retries(request, service, placement, reached, attempt, outcome)) {
         return served;
       }
       metrics.retry();
@@ -112,40 +132,52 @@
     return served;
   }
 
-  // A refusal speaks for the last attempt only; if an earlier one may have run, so may the call.
-  private static Outcome<CallResponse> atLeastUnknown(
+  private static boolean mayHaveReached(Outcome<CallResponse> outcome) {
+    return !(outcome instanceof Outcome.NotRun<CallResponse> notRun)
+        || notRun.code().reachedTarget();
+  }
+
+  // A refusal speaks for the last attempt only; if an earlier one may have run, so may the call. A
+  // target's own answer is worth more than a later attempt without one.
+  private static Outcome<CallResponse> better(
       Outcome<CallResponse> earlier, Outcome<CallResponse> last) {
-    boolean mayHaveRun = earlier instanceof Outcome.Unknown<CallResponse>;
-    return mayHaveRun && last instanceof Outcome.NotRun<CallResponse> ? earlier : last;
+    return switch (earlier) {
+      case Outcome.Answered<CallResponse> answered ->
+          last instanceof Outcome.Answered<CallResponse> ? last : earlier;
+      case Outcome.Unknown<CallResponse> unknown ->
+          last instanceof Outcome.NotRun<CallResponse> ? earlier : last;
+      case Outcome.NotRun<CallResponse> notRun -> last;
+    };
   }
 
   private boolean retries(
       CallRequest request,
       ServiceView service,
-      Set<Server> tried,
-      int attempts,
+      Placement placement,
+      int reached,
       Attempt last,
       Outcome<CallResponse> outcome) {
     RetryPolicy.Facts facts =
         new RetryPolicy.Facts(
             request.idempotent(),
             request.complete() || !last.consumedBody,
-            attempts,
+            reached,
             request.attempt() - 1,
             request.deadlineNanos() - time.nanos(),
             request.key().isPresent(),
-            service.servers().size() - tried.size());
+            placement.mayGoOn() ? 1 : 0,
+            request.maxAttempts(),
+            isWholeFailure(outcome));
     return RetryPolicy.retries(outcome, facts, service.retryBudget());
   }
 
   // A request with a key goes to the key's home; any other to the server that suits best.
-  private Optional<Server> choose(CallRequest request, ServiceView service, Set<Server> tried) {
+  private Optional<Placement.Choice> choose(
+      CallRequest request, ServiceView service, Placement placement) {
     if (request.key().isPresent()) {
-      return home(request.key().get(), service);
+      return home(request.key().get(), service).map(home -> new Placement.Choice(home, 0));
     }
-    return service
-        .picker()
-        .pick(service.servers(), tried, time.nanos(), ThreadLocalRandom.current());
+    return placement.next(time.nanos(), ThreadLocalRandom.current());
   }
 
   private static Optional<Server> home(IdempotencyKey key, ServiceView service) {
@@ -170,6 +202,12 @@
     }
   }
 
+  private static boolean isWholeFailure(Outcome<CallResponse> outcome) {
+    return outcome instanceof Outcome.Answered<CallResponse> answered
+        && answered.response().status() >= FIRST_SERVER_ERROR
+        && answered.response().body() instanceof CallResponse.Body.Whole;
+  }
+
   private static boolean isFailure(Outcome<CallResponse> outcome) {
     return switch (outcome) {
       case Outcome.Answered<CallResponse> answered ->
@@ -257,11 +295,12 @@
         throws InterruptedException {
       while (true) {
         long left = request.deadlineNanos() - time.nanos();
-        Optional<Outcome<CallResponse>> outcome = exchange.await(Math.clamp(left, 0, POLL_NANOS));
+        Optional<Outcome<CallResponse>> outcome =
+            exchange.await(Math.clamp(left + VERDICT_GRACE_NANOS, 0, POLL_NANOS));
         if (outcome.isPresent()) {
           return outcome.get();
         }
-        if (left <= 0) {
+        if (left <= -VERDICT_GRACE_NANOS) {
           return abandon(exchange, "no answer before the deadline");
         }
         if (caller.gone()) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryView.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryView.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
-import org.amaranthmoor.caller.RouteTable;
+import org.amaranthmoor.caller.Router;
 import org.amaranthmoor.model.ServiceName;
 
 /**
@@ -10,11 +10,11 @@
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param offset log offset of the configuration
+ * @param offset number of the configuration, such as its log offset
  * @param routes finds routes
  * @param services the services
  */
-public record EntryView(long offset, RouteTable routes, Map<ServiceName, ServiceView> services) {
+public record EntryView(long offset, Router routes, Map<ServiceName, ServiceView> services) {
 
   /** Copies the services. */
   public EntryView {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryViews.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryViews.java
@@ -1,19 +1,19 @@
 package org.amaranthmoor.daemon.caller;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
 import org.amaranthmoor.balance.PickPolicy;
 import org.amaranthmoor.balance.Picker;
 import org.amaranthmoor.balance.ProbePlanner;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.balance.ServerStats;
 import org.amaranthmoor.caller.RetryBudget;
-import org.amaranthmoor.caller.RouteTable;
 import org.amaranthmoor.config.ServiceSpec;
 import org.amaranthmoor.daemon.node.PeerAddress;
 import org.amaranthmoor.model.Incarnation;
@@ -22,15 +22,11 @@
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.model.ZoneName;
-import org.amaranthmoor.node.Member;
-import org.amaranthmoor.node.Membership;
-import org.amaranthmoor.platform.Announced;
 import org.amaranthmoor.platform.ClusterState;
 import org.amaranthmoor.report.CallCounts;
-import org.amaranthmoor.target.Homes;
 
 /**
- * Builds the view that the path of a request reads, from the state and the membership.
+ * Builds the view that the path of a request reads.
  *
  * <p>Invariant: the view's offset only rises. Reading is one volatile read; rebuilding is done by
  * one thread at a time. Safe for use by several threads.
@@ -43,7 +39,7 @@
   private static final int RETRY_BURST = 10;
 
   private final ZoneName ownZone;
-  private final Membership membership;
+  private final Policies policies;
   private final TimeSource time;
   private final AtomicReference<Optional<EntryView>> current =
       new AtomicReference<>(Optional.empty());
@@ -64,12 +60,12 @@
    * Creates views; there is none before the first {@link #rebuild}.
    *
    * @param ownZone the entry side's availability zone
-   * @param membership who is alive
+   * @param policies how services are treated
    * @param time the time
    */
-  public EntryViews(ZoneName ownZone, Membership membership, TimeSource time) {
+  public EntryViews(ZoneName ownZone, Policies policies, TimeSource time) {
     this.ownZone = ownZone;
-    this.membership = membership;
+    this.policies = policies;
     this.time = time;
   }
 
@@ -94,21 +90,20 @@
   /**
    * Builds a new view.
    *
-   * @param state the state
+   * @param deployment what to route by
    */
-  public synchronized void rebuild(ClusterState state) {
+  public synchronized void rebuild(Deployment deployment) {
     long shown = current.get().map(EntryView::offset).orElse(ClusterState.NO_OFFSET);
-    if (state.offset() < shown) {
+    if (deployment.offset() < shown) {
       return;
     }
     Map<ServiceName, ServiceView> services = new HashMap<>();
-    for (ServiceSpec spec : state.services().values()) {
-      services.put(spec.name(), view(spec, state));
+    for (ServiceSpec spec : deployment.services()) {
+      services.put(spec.name(), view(spec, deployment));
     }
     parts.keySet().retainAll(services.keySet());
     forgetStats(services);
-    RouteTable routes = new RouteTable(state.rules().values(), state.services());
-    current.set(Optional.of(new EntryView(state.offset(), routes, services)));
+    current.set(Optional.of(new EntryView(deployment.offset(), deployment.routes(), services)));
   }
 
   private void forgetStats(Map<ServiceName, ServiceView> services) {
@@ -119,16 +114,13 @@
     stats.keySet().retainAll(used);
   }
 
-  private ServiceView view(ServiceSpec spec, ClusterState state) {
+  private ServiceView view(ServiceSpec spec, Deployment deployment) {
     Parts shared = parts.compute(spec.name(), (name, old) -> parts(spec, old));
-    List<Server> servers = new ArrayList<>();
-    for (Announced announced : state.servers(spec.name())) {
-      toServer(announced).ifPresent(servers::add);
-    }
+    List<Server> servers = deployment.instances(spec.name()).stream().map(this::server).toList();
     return new ServiceView(
         spec,
         servers,
-        Homes.of(state, spec.name()),
+        deployment.homes(spec.name()),
         shared.picker(),
         shared.retryBudget(),
         shared.probes(),
@@ -139,45 +131,48 @@
     if (old != null && old.spec().equals(spec)) {
       return old;
     }
-    long zonePenalty =
-        switch (spec.weighting()) {
-          case COST -> COST_ZONE_PENALTY_NANOS;
-          case TAIL -> TAIL_ZONE_PENALTY_NANOS;
-        };
     return new Parts(
         spec,
-        new Picker(new PickPolicy.HotCold(DRAWN, zonePenalty), ownZone),
-        new RetryBudget(spec.retryShare(), RETRY_BURST),
+        new Picker(policies.pick().apply(spec), ownZone),
+        new RetryBudget(spec.retryShare(), policies.retryBurst().getAsInt()),
         new ProbePlanner(spec.probesPerSecond(), time.nanos()),
         old == null ? new CallCounts() : old.counts());
   }
 
-  // The membership knows of failures, drains and replaced instances before the log does.
-  private Optional<Server> toServer(Announced announced) {
-    Optional<Member> member = membership.member(announced.node());
-    if (member.isEmpty() || member.get().incarnation().compareTo(announced.incarnation()) < 0) {
-      return Optional.of(
-          server(announced, announced.incarnation(), announced.host(), announced.port()));
-    }
-    Member alive = member.get();
-    if (!alive.reachable() || alive.draining()) {
-      return Optional.empty();
-    }
-    return Optional.of(server(announced, alive.incarnation(), alive.host(), alive.port()));
-  }
-
-  private Server server(Announced announced, Incarnation incarnation, String host, int port) {
+  private Server server(Deployment.Instance instance) {
     ServerStats known =
         stats.computeIfAbsent(
-            new RunOfNode(announced.node(), incarnation), key -> new ServerStats(time.nanos()));
+            new RunOfNode(instance.node(), instance.incarnation()),
+            key -> new ServerStats(time.nanos()));
     return new Server(
-        announced.node(),
-        incarnation,
-        announced.target(),
-        announced.zone(),
-        host,
-        port,
-        announced.slots(),
+        instance.node(),
+        instance.incarnation(),
+        instance.target(),
+        instance.zone(),
+        instance.host(),
+        instance.port(),
+        instance.slots(),
         known);
   }
+
+  /**
+   * How a node treats services.
+   *
+   * @param pick chooses the way to pick servers of a service
+   * @param retryBurst most retries that are saved up for a service
+   */
+  public record Policies(Function<ServiceSpec, PickPolicy> pick, IntSupplier retryBurst) {
+
+    /** {@return what nodes use that release notes configure} */
+    public static Policies standard() {
+      return new Policies(Policies::hotCold, () -> RETRY_BURST);
+    }
+
+    private static PickPolicy hotCold(ServiceSpec spec) {
+      return switch (spec.weighting()) {
+        case COST -> new PickPolicy.HotCold(DRAWN, COST_ZONE_PENALTY_NANOS);
+        case TAIL -> new PickPolicy.HotCold(DRAWN, TAIL_ZONE_PENALTY_NANOS);
+      };
+    }
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.model.ServiceName;
 
 /**
@@ -23,6 +25,13 @@
  * @param prefix first bytes of the body
  * @param complete whether the prefix is the whole body
  * @param bodyLength length of the whole body in bytes, or -1 if not known
+ * @param id the caller's id of the request
+ * @param rule the rule that it matched
+ * @param objectiveNanos until when an answer counts as in time, in monotonic nanoseconds of this
+ *     process
+ * @param maxAttempts most targets that the request may be sent to
+ * @param patiencePercent share of the time until the objective within which a target side must
+ *     expect to answer in order to take the request, in percent; 0 to take it until the deadline
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record CallRequest(
@@ -37,11 +46,18 @@
     Optional<IdempotencyKey> key,
     byte[] prefix,
     boolean complete,
-    long bodyLength) {
+    long bodyLength,
+    CallId id,
+    RuleName rule,
+    long objectiveNanos,
+    int maxAttempts,
+    int patiencePercent) {
 
   /** Most bytes of a body that an entry side keeps for another attempt. */
   public static final int MAX_PREFIX_BYTES = 64 * 1024;
 
+  private static final int PERCENT = 100;
+
   /** Length of a body whose length is not known. */
   public static final long UNKNOWN_LENGTH = -1;
 
@@ -49,9 +65,11 @@
    * Returns the same request as another attempt.
    *
    * @param number the attempt number
+   * @param patience share of the time until the objective that the target side may expect to take,
+   *     in percent; 0 for all time until the deadline
    * @return the request
    */
-  public CallRequest withAttempt(int number) {
+  public CallRequest withAttempt(int number, int patience) {
     return new CallRequest(
         service,
         method,
@@ -64,6 +82,25 @@
         key,
         prefix,
         complete,
-        bodyLength);
+        bodyLength,
+        id,
+        rule,
+        objectiveNanos,
+        maxAttempts,
+        patience);
+  }
+
+  /**
+   * Returns until when a target side must expect to answer in order to take the request.
+   *
+   * @param nowNanos the current time
+   * @return the latest end, in monotonic nanoseconds; at most the deadline
+   */
+  public long latestEndNanos(long nowNanos) {
+    if (patiencePercent == 0) {
+      return deadlineNanos;
+    }
+    long span = (objectiveNanos - nowNanos) / PERCENT * patiencePercent;
+    return Math.min(deadlineNanos, nowNanos + span);
   }
 }
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -0,0 +1,420 @@
+package org.amaranthmoor.daemon.mesh;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.amaranthmoor.balance.PickPolicy;
+import org.amaranthmoor.daemon.caller.CallerDialect;
+import org.amaranthmoor.daemon.caller.CallerHandler;
+import org.amaranthmoor.daemon.caller.EntrySide;
+import org.amaranthmoor.daemon.caller.EntryViews;
+import org.amaranthmoor.daemon.caller.TargetAccess;
+import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.node.GossipSocket;
+import org.amaranthmoor.daemon.node.NodeIdentity;
+import org.amaranthmoor.daemon.node.PeerAddress;
+import org.amaranthmoor.daemon.node.PeerLinks;
+import org.amaranthmoor.daemon.node.PeerServer;
+import org.amaranthmoor.daemon.target.RegisteredTarget;
+import org.amaranthmoor.daemon.target.TargetConnections;
+import org.amaranthmoor.daemon.target.TargetDialect;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.GossipTimings;
+import org.amaranthmoor.node.Member;
+import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.ExchangeLedger;
+import org.amaranthmoor.target.HomeDuty;
+import org.amaranthmoor.target.Homes;
+import org.amaranthmoor.target.KeyLedger;
+import org.amaranthmoor.target.TargetHealth;
+import org.amaranthmoor.target.TargetLife;
+
+/**
+ * One node of a mesh, put together and running.
+ *
+ * <p>Safe for use by several threads; {@link #stop} is a planned stop and may be called once.
+ */
+public final class MeshNode {
+
+  /** Period of gossip, link supervision and checks, in milliseconds. */
+  private static final long TICK_MILLIS = 100;
+
+  /** Servers looked at for a call within a zone. */
+  private static final int DRAWN = 8;
+
+  /** Least number of nodes that the retry slack is divided by while few are known. */
+  private static final int LEAST_NODES = 8;
+
+  /** Share of the retry slack that is spent; the rest covers what several windows share. */
+  private static final double SPENT_SLACK_SHARE = 0.8;
+
+  /** Time after a stop began in which callers still send, in milliseconds: two missed checks. */
+  private static final long CALLERS_LEAVE_MILLIS = 3_000;
+
+  /** Time for which other nodes may still send after a stop began, in milliseconds. */
+  private static final long NODES_LEAVE_MILLIS = 600;
+
+  /** Time kept free at the end of a stop, in milliseconds. */
+  private static final long STOP_RESERVE_MILLIS = 250;
+
+  private static final long POLL_MILLIS = 20;
+
+  /** Connections to the target that are kept idle at most. */
+  private static final int MAX_IDLE_CONNECTIONS = 32;
+
+  /** Time after which an idle connection to the target is not used again, in milliseconds. */
+  private static final long IDLE_MILLIS = 2_000;
+
+  private static final int FIRST_SLOTS = 1;
+
+  private final MeshSettings settings;
+  private final TimeSource time;
+  private final EventLog log;
+  private final NodeIdentity identity;
+  private final NodeMetrics metrics = new NodeMetrics();
+  private final ConfigHolder config = new ConfigHolder();
+  private final Membership membership;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+  private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+  private final TargetLife life;
+  private final TargetSide targetSide;
+  private final TargetRegistry registry;
+  private final EntryViews views;
+  private final PeerLinks links;
+  private final CallerHandler callerHandler;
+  private final InstanceDirectory directory;
+  private final ConfigFollower follower;
+  private final PeerConfigReader peerConfigs;
+  private final PeerServer peerServer;
+  private final GossipSocket gossip;
+  private final HttpListener callerListener;
+  private final AtomicBoolean closed = new AtomicBoolean();
+  private volatile boolean stopping;
+  private long shownViewHash;
+
+  /**
+   * Creates a node and opens its ports; {@link #start} lets it take part.
+   *
+   * @param settings its settings
+   * @param records records that all nodes share
+   * @param feed where the configuration comes from
+   * @param callerDialect how callers are spoken to
+   * @param targetDialect how the target is spoken to
+   * @param time the time
+   * @param log events
+   * @throws IOException if a port cannot be opened
+   */
+  public MeshNode(
+      MeshSettings settings,
+      SharedRecords records,
+      ConfigFeed feed,
+      CallerDialect callerDialect,
+      TargetDialect targetDialect,
+      TimeSource time,
+      EventLog log)
+      throws IOException {
+    this.settings = settings;
+    this.time = time;
+    this.log = log;
+    this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
+    this.membership =
+        new Membership(
+            self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
+    this.life = new TargetLife(settings.firstStart());
+    TargetHealth health = new TargetHealth();
+    this.targetSide = createTargetSide(health, targetDialect);
+    this.views =
+        new EntryViews(
+            settings.zone(),
+            new EntryViews.Policies(spec -> new PickPolicy.ZoneFirst(DRAWN), this::retryBurst),
+            time);
+    this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
+    TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
+    EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time);
+    this.callerHandler = new CallerHandler(views, entrySide, callerDialect, time);
+    this.directory = new InstanceDirectory(settings, records, this::onDirectory, log);
+    this.registry =
+        new TargetRegistry(
+            life,
+            health,
+            targetSide,
+            membership,
+            directory,
+            this::isKnown,
+            this::spreadOwnState,
+            time,
+            log);
+    this.follower = new ConfigFollower(feed, found -> take(found, "feed"), log);
+    this.peerConfigs =
+        new PeerConfigReader(membership, links, config, feed, found -> take(found, "peer"), log);
+    this.peerServer =
+        new PeerServer(
+            settings.nodes().host(),
+            settings.nodes().port(),
+            group,
+            targetSide,
+            new ExchangeLedger(),
+            new MeshQueries(settings, identity, config, targetSide, views),
+            identity,
+            executor,
+            metrics,
+            time);
+    this.gossip =
+        new GossipSocket(
+            settings.nodes().host(),
+            settings.nodes().port(),
+            group,
+            membership,
+            this::onPeerVersion,
+            metrics,
+            time);
+    this.callerListener = new HttpListener(settings.callers().socketAddress(), callerHandler);
+  }
+
+  private TargetSide createTargetSide(TargetHealth health, TargetDialect dialect) {
+    Admission admission = new Admission(FIRST_SLOTS, 0, RandomGenerator.getDefault(), time.nanos());
+    HomeDuty noDuty = new HomeDuty(new Homes.Member(settings.node(), identity.incarnation()));
+    return new TargetSide(
+        admission,
+        new KeyLedger<>(1, 1, answer -> 0),
+        new AtomicReference<>(noDuty),
+        new RegisteredTarget(life, health, () -> {}, log),
+        dialect,
+        new TargetConnections(MAX_IDLE_CONNECTIONS, IDLE_MILLIS, time),
+        time);
+  }
+
+  private Member self() {
+    return new Member(
+        settings.node(),
+        identity.incarnation(),
+        Member.Liveness.ALIVE,
+        settings.nodes().host(),
+        settings.nodes().port(),
+        settings.zone(),
+        settings.region(),
+        true,
+        0);
+  }
+
+  private int retryBurst() {
+    int nodes = Math.max(LEAST_NODES, membership.members().size());
+    return (int) Math.max(1, settings.retrySlack() * SPENT_SLACK_SHARE / nodes);
+  }
+
+  /** Lets the node take part. */
+  public void start() {
+    follower.start();
+    directory.start();
+    var unused =
+        scheduler.scheduleWithFixedDelay(
+            this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    log.info(
+        "node-started",
+        () ->
+            "node="
+                + settings.node()
+                + " incarnation="
+                + identity.incarnation()
+                + " zone="
+                + settings.zone()
+                + " callers="
+                + settings.callers()
+                + " nodes="
+                + settings.nodes()
+                + " first-start="
+                + settings.firstStart());
+  }
+
+  /** {@return where the target beside this node reports} */
+  public TargetRegistry registry() {
+    return registry;
+  }
+
+  /** {@return the metrics of this node} */
+  public NodeMetrics metrics() {
+    return metrics;
+  }
+
+  /** {@return whether callers may send requests here} */
+  public boolean ready() {
+    return !stopping && views.current().isPresent();
+  }
+
+  private boolean isKnown(ServiceName service) {
+    return config.current().map(held -> held.services().containsKey(service)).orElse(false);
+  }
+
+  private void onDirectory(InstanceDirectory.Contents contents) {
+    contents.leftRuns().forEach(life::onGone);
+    life.onHistoryKnown();
+    contents.others().forEach(membership::learn);
+    registry.refresh();
+    log.info(
+        "directory-read",
+        () -> "others=" + contents.others().size() + " left-runs=" + contents.leftRuns().size());
+    gossip.send(membership.introductions());
+  }
+
+  private void take(RoutingConfig found, String source) {
+    if (config.advance(found)) {
+      membership.setConfigOffset(found.version());
+      rebuildViews();
+      log.info(
+          "config-in-force",
+          () ->
+              "version="
+                  + found.version()
+                  + " source="
+                  + source
+                  + " rules="
+                  + found.rules().size()
+                  + " services="
+                  + found.services().size());
+    }
+  }
+
+  private synchronized void rebuildViews() {
+    config.current().ifPresent(held -> views.rebuild(new MeshDeployment(held, membership)));
+  }
+
+  private void onPeerVersion(String node, long version) {
+    if (version > config.version()) {
+      executor.execute(() -> guarded(() -> peerConfigs.readLater(node, version)));
+    }
+  }
+
+  private void spreadOwnState() {
+    gossip.send(membership.announcements());
+    rebuildViews();
+  }
+
+  private void tick() {
+    guarded(gossip::tick);
+    guarded(registry::refresh);
+    guarded(this::renewIfOvertaken);
+    guarded(
+        () ->
+            links
+                .supervise()
+                .forEach(address -> log.warn("link-silent", () -> "peer=" + address.node())));
+    guarded(this::followMembership);
+  }
+
+  private void followMembership() {
+    long viewHash = membership.viewHash();
+    if (viewHash != shownViewHash) {
+      shownViewHash = viewHash;
+      rebuildViews();
+      links.closeIf(this::isGone);
+    }
+  }
+
+  // A clock that was set back, or a start within one millisecond, gives an incarnation that others
+  // take for an old one.
+  private void renewIfOvertaken() {
+    membership
+        .overtakenBy()
+        .ifPresent(
+            seen -> {
+              Incarnation fresh = identity.renewBeyond(seen);
+              membership.renew(fresh);
+              log.warn("incarnation-overtaken", () -> "seen=" + seen + " now=" + fresh);
+              spreadOwnState();
+            });
+  }
+
+  private boolean isGone(PeerAddress address) {
+    Optional<Member> member = membership.member(address.node());
+    return member.isPresent()
+        && (!member.get().reachable()
+            || member.get().incarnation().compareTo(address.incarnation()) > 0);
+  }
+
+  private void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      log.warn("task-failed", () -> "error=" + EventLog.quote(e.toString()));
+    }
+  }
+
+  /**
+   * Stops as planned: says so at once, serves callers until they have left, lets requests in
+   * progress end, and closes.
+   *
+   * <p>Blocks until all is closed, at most the grace of the settings.
+   *
+   * @return whether every request in progress ended within the grace
+   */
+  public boolean stop() {
+    stopping = true;
+    long begin = time.nanos();
+    log.info("stop-started", () -> "in-progress=" + inProgress());
+    callerHandler.closeConnections();
+    membership.setServing(Optional.empty(), true);
+    gossip.send(membership.announcements());
+    long end = begin + settings.grace().toNanos() - millis(STOP_RESERVE_MILLIS);
+    sleepUntil(begin + millis(NODES_LEAVE_MILLIS), false);
+    registry.stop();
+    sleepUntil(begin + millis(CALLERS_LEAVE_MILLIS), false);
+    callerHandler.refuseNew();
+    boolean finished = sleepUntil(end, true);
+    log.info("stop-ended", () -> "finished=" + finished + " in-progress=" + inProgress());
+    halt();
+    return finished;
+  }
+
+  private static long millis(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  // Returns whether nothing is in progress.
+  private boolean sleepUntil(long nanos, boolean endWhenIdle) {
+    while (time.nanos() < nanos && !(endWhenIdle && inProgress() == 0)) {
+      try {
+        Thread.sleep(POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return false;
+      }
+    }
+    return inProgress() == 0;
+  }
+
+  private int inProgress() {
+    return targetSide.running() + callerHandler.inProgress();
+  }
+
+  /** Ends at once, as if the process were killed; does nothing if the node has stopped. */
+  public void halt() {
+    if (closed.compareAndSet(false, true)) {
+      scheduler.shutdownNow();
+      follower.close();
+      directory.close();
+      callerListener.close();
+      peerServer.close();
+      gossip.close();
+      links.close();
+      executor.shutdownNow();
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
@@ -0,0 +1,35 @@
+package org.amaranthmoor.daemon.mesh;
+
+import java.time.Duration;
+import org.amaranthmoor.daemon.settings.Endpoint;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ZoneName;
+
+/**
+ * Settings of a node in a mesh.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param node the node
+ * @param zone its availability zone
+ * @param region its region
+ * @param callers address for callers
+ * @param nodes TCP and UDP address for other nodes
+ * @param metrics address at which metrics are served
+ * @param firstStart whether the whole system starts for the first time
+ * @param grace longest time a planned stop may take
+ * @param retryShare most repeats that arrive at a service, as a share of requests
+ * @param retrySlack repeats that all nodes together may make beyond that share
+ */
+public record MeshSettings(
+    NodeName node,
+    ZoneName zone,
+    RegionName region,
+    Endpoint callers,
+    Endpoint nodes,
+    Endpoint metrics,
+    boolean firstStart,
+    Duration grace,
+    double retryShare,
+    int retrySlack) {}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -0,0 +1,164 @@
+package org.amaranthmoor.daemon.mesh;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.Member;
+import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.TargetHealth;
+import org.amaranthmoor.target.TargetLife;
+import org.amaranthmoor.target.TargetRun;
+
+/**
+ * Takes the reports of the target beside this node and opens and closes its target side by them.
+ *
+ * <p>Invariant: when a leave is acknowledged the target side has been closed, and the leave is kept
+ * in the shared records if they can be written. Safe for use by several threads.
+ */
+public final class TargetRegistry {
+
+  /** Requests that may wait for the target, for each slot. */
+  private static final int QUEUE_PER_SLOT = 8;
+
+  /**
+   * Share of the slots that are used: beyond it targets slow down so much that they do less in all.
+   */
+  private static final double USED_SLOT_SHARE = 0.84;
+
+  /** Share of the objective that the first request of a rule is expected to take. */
+  private static final double FIRST_WORK_SHARE = 0.3;
+
+  private final TargetLife life;
+  private final TargetHealth health;
+  private final TargetSide targetSide;
+  private final Membership membership;
+  private final InstanceDirectory directory;
+  private final Predicate<ServiceName> knownService;
+  private final Runnable onChange;
+  private final TimeSource time;
+  private final EventLog log;
+  private Optional<TargetLife.Report> open = Optional.empty();
+  private boolean stopping;
+
+  TargetRegistry(
+      TargetLife life,
+      TargetHealth health,
+      TargetSide targetSide,
+      Membership membership,
+      InstanceDirectory directory,
+      Predicate<ServiceName> knownService,
+      Runnable onChange,
+      TimeSource time,
+      EventLog log) {
+    this.life = life;
+    this.health = health;
+    this.targetSide = targetSide;
+    this.membership = membership;
+    this.directory = directory;
+    this.knownService = knownService;
+    this.onChange = onChange;
+    this.time = time;
+    this.log = log;
+    targetSide.close(ResultCode.TARGET_ABSENT);
+  }
+
+  /**
+   * Takes in a report of the target. Blocks until a leave is kept, within the time limit of the
+   * shared records.
+   *
+   * @param report the report
+   * @return whether it is to be acknowledged; a report of an unknown service is not
+   */
+  public boolean onReport(TargetLife.Report report) {
+    if (!knownService.test(report.serving().service())) {
+      log.warn(
+          "target-report-ignored",
+          () -> "run=" + report.run().id() + " unknown-service=" + report.serving().service());
+      return false;
+    }
+    TargetLife.Change change = life.onReport(report, time.nanos());
+    if (change != TargetLife.Change.NONE) {
+      log.info(
+          "target-report",
+          () ->
+              "run="
+                  + report.run().id()
+                  + " started-millis="
+                  + report.run().startedMillis()
+                  + " sequence="
+                  + report.sequence()
+                  + " service="
+                  + report.serving().service()
+                  + " leaving="
+                  + report.leaving()
+                  + " change="
+                  + change);
+    }
+    refresh();
+    if (change == TargetLife.Change.LEAVING) {
+      directory.keepLeft(report.run());
+    }
+    return true;
+  }
+
+  /**
+   * Takes in that a run of the target leaves. Blocks until that is kept, within the time limit of
+   * the shared records.
+   *
+   * @param run the run; a start of 0 means every run with its id
+   */
+  public void onLeave(TargetRun run) {
+    life.onGone(run);
+    TargetRun left = run.startedMillis() == 0 ? life.onGone(run.id()) : run;
+    log.info("target-leave", () -> "run=" + left.id() + " started-millis=" + left.startedMillis());
+    refresh();
+    directory.keepLeft(left);
+  }
+
+  /** Opens or closes the target side by what is known now. Called several times a second. */
+  synchronized void refresh() {
+    Optional<TargetLife.Report> ready = life.ready(time.nanos()).filter(report -> !stopping);
+    boolean sameRun = open.map(TargetLife.Report::run).equals(ready.map(TargetLife.Report::run));
+    boolean sameServing =
+        open.map(TargetLife.Report::serving).equals(ready.map(TargetLife.Report::serving));
+    if (sameRun && sameServing) {
+      return;
+    }
+    open = ready;
+    if (ready.isPresent()) {
+      if (!sameRun) {
+        health.reset();
+      }
+      targetSide.open(limits(ready.get().serving().slots()));
+    } else {
+      targetSide.close(ResultCode.TARGET_ABSENT);
+    }
+    Optional<Member.Serving> serving =
+        ready.map(
+            report -> new Member.Serving(report.serving().service(), report.serving().slots()));
+    membership.setServing(serving, serving.isEmpty());
+    log.info(
+        "target-side",
+        () ->
+            "open="
+                + ready.isPresent()
+                + ready.map(report -> " run=" + report.run().id()).orElse(""));
+    onChange.run();
+  }
+
+  private static Admission.Limits limits(int slots) {
+    int concurrency = Math.max(1, (int) (slots * USED_SLOT_SHARE));
+    return new Admission.Limits(slots, slots * QUEUE_PER_SLOT, concurrency, FIRST_WORK_SHARE);
+  }
+
+  /** Closes the target side for good; requests in progress go on. */
+  synchronized void stop() {
+    stopping = true;
+    refresh();
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -7,12 +7,14 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.protocol.node.Cancel;
 import org.amaranthmoor.protocol.node.Credit;
@@ -22,6 +24,7 @@
 import org.amaranthmoor.protocol.node.Header;
 import org.amaranthmoor.protocol.node.Load;
 import org.amaranthmoor.protocol.node.OpenCall;
+import org.amaranthmoor.protocol.node.Probe;
 import org.amaranthmoor.protocol.node.Refused;
 import org.amaranthmoor.protocol.node.ResponseHead;
 
@@ -58,7 +61,11 @@
             .setBody(UnsafeByteOperations.unsafeWrap(request.prefix()))
             .setBodyComplete(request.complete())
             .setBodyLength(request.bodyLength())
-            .setConfigOffset(offset);
+            .setConfigOffset(offset)
+            .setCallId(request.id().value())
+            .setRule(request.rule().value())
+            .setObjectiveMicros((request.objectiveNanos() - nowNanos) / NANOS_PER_MICRO)
+            .setPatiencePercent(request.patiencePercent());
     request.key().ifPresent(key -> open.setIdempotencyKey(key.toString()));
     request.headers().forEach(header -> open.addHeaders(toMessage(header)));
     return Frame.newBuilder().setOpenCall(open).build();
@@ -77,7 +84,12 @@
         key(open.getIdempotencyKey()),
         open.getBody().toByteArray(),
         open.getBodyComplete(),
-        open.getBodyLength());
+        open.getBodyLength(),
+        new CallId(open.getCallId()),
+        new RuleName(open.getRule()),
+        nowNanos + open.getObjectiveMicros() * NANOS_PER_MICRO,
+        1,
+        open.getPatiencePercent());
   }
 
   private static Optional<IdempotencyKey> key(String text) {
@@ -116,6 +128,10 @@
         .build();
   }
 
+  static Frame probe(long query) {
+    return Frame.newBuilder().setProbe(Probe.newBuilder().setQuery(query)).build();
+  }
+
   static Frame cancel(long stream) {
     return Frame.newBuilder().setCancel(Cancel.newBuilder().setStream(stream)).build();
   }
@@ -175,6 +191,7 @@
         .setSlots(load.slots())
         .setServiceTimeMicros(load.serviceTimeNanos() / NANOS_PER_MICRO)
         .setDraining(load.draining())
+        .setWaitMicros(load.waitNanos() / NANOS_PER_MICRO)
         .build();
   }
 
@@ -184,7 +201,8 @@
         load.getQueued(),
         load.getSlots(),
         load.getServiceTimeMicros() * NANOS_PER_MICRO,
-        load.getDraining());
+        load.getDraining(),
+        load.getWaitMicros() * NANOS_PER_MICRO);
   }
 
   private static Header toMessage(HeaderField field) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -13,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.model.Names;
+import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.protocol.node.Gossip;
@@ -29,9 +31,10 @@
     /**
      * A node stated the offset of its configuration.
      *
+     * @param node the node, as it names itself
      * @param offset the offset
      */
-    void onPeerOffset(long offset);
+    void onPeerOffset(String node, long offset);
   }
 
   private final Membership membership;
@@ -106,12 +109,22 @@
       try {
         Gossip gossip = Gossip.parseFrom(bytes);
         send(membership.receive(gossip, time.nanos()));
-        offsetListener.onPeerOffset(gossip.getConfigOffset());
+        introduceToUnknown(gossip.getSender(), packet.sender());
+        offsetListener.onPeerOffset(gossip.getSender(), gossip.getConfigOffset());
       } catch (InvalidProtocolBufferException e) {
         metrics.lateFrame();
       }
     }
 
+    // A node that has just started may be known to others before it knows them.
+    private void introduceToUnknown(String sender, InetSocketAddress address) {
+      boolean unknown = Names.isName(sender) && membership.member(new NodeName(sender)).isEmpty();
+      if (unknown) {
+        String host = address.getAddress().getHostAddress();
+        send(List.of(membership.syncRequest(host, address.getPort())));
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       // A datagram that could not be sent counts as lost.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeIdentity.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeIdentity.java
@@ -36,6 +36,17 @@
     return incarnation.get();
   }
 
+  /**
+   * Takes an incarnation greater than one that others have seen.
+   *
+   * @param seen the incarnation that others have seen
+   * @return the new incarnation
+   */
+  public Incarnation renewBeyond(Incarnation seen) {
+    return incarnation.updateAndGet(
+        old -> new Incarnation(Math.max(old.value(), seen.value()) + 1));
+  }
+
   /**
    * Takes a greater incarnation.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeQueries.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeQueries.java
@@ -1,8 +1,5 @@
 package org.amaranthmoor.daemon.node;
 
-import com.google.protobuf.UnsafeByteOperations;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import org.amaranthmoor.daemon.caller.EntryViews;
@@ -17,7 +14,6 @@
 import org.amaranthmoor.protocol.node.LeaseGrant;
 import org.amaranthmoor.protocol.node.LeaseRequest;
 import org.amaranthmoor.protocol.node.ServiceCounts;
-import org.amaranthmoor.protocol.node.StateReply;
 import org.amaranthmoor.protocol.node.StateRequest;
 import org.amaranthmoor.protocol.node.StatusReply;
 import org.amaranthmoor.protocol.node.WindowCounts;
@@ -32,8 +28,6 @@
  */
 public final class NodeQueries implements PeerQueries {
 
-  private static final int PIECE_BYTES = 128 * 1024;
-
   private final NodeSettings settings;
   private final NodeIdentity identity;
   private final StateHolder holder;
@@ -89,25 +83,7 @@
         state.offset() > request.getHaveOffset()
             ? CheckpointCodec.write(state, identity.node(), 0)
             : new byte[0];
-    List<Frame> frames = new ArrayList<>();
-    int from = 0;
-    do {
-      int to = Math.min(bytes.length, from + PIECE_BYTES);
-      frames.add(
-          piece(request.getQuery(), Arrays.copyOfRange(bytes, from, to), to == bytes.length));
-      from = to;
-    } while (from < bytes.length);
-    return frames;
-  }
-
-  private static Frame piece(long query, byte[] bytes, boolean last) {
-    StateReply reply =
-        StateReply.newBuilder()
-            .setQuery(query)
-            .setPiece(UnsafeByteOperations.unsafeWrap(bytes))
-            .setLast(last)
-            .build();
-    return Frame.newBuilder().setStateReply(reply).build();
+    return StateFrames.pieces(request.getQuery(), bytes);
   }
 
   @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -37,6 +37,9 @@
     /** Finds out what became of a request whose link was lost, and completes its stream. */
     void settleLost(PeerLink link, ClientStream stream);
 
+    /** {@return the current time in monotonic nanoseconds} */
+    long nanos();
+
     /** Counts a frame that belongs to no stream. */
     void onLateFrame();
 
@@ -44,6 +47,8 @@
     void onControlFrame(int bytes);
   }
 
+  private static final long NOT_ASKED = Long.MIN_VALUE;
+
   private final PeerAddress address;
   private final Hello hello;
   private final Owner owner;
@@ -53,6 +58,8 @@
   // Pieces of state replies that have arrived so far, by query.
   private final Map<Long, ByteString> pieces = new ConcurrentHashMap<>();
   private volatile Optional<Channel> channel = Optional.empty();
+  private volatile long receivedNanos;
+  private volatile long askedNanos = NOT_ASKED;
   private volatile boolean lost;
 
   PeerLink(PeerAddress address, Hello hello, Owner owner) {
@@ -79,6 +86,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
+    receivedNanos = owner.nanos();
     channel = Optional.of(context.channel());
     context.writeAndFlush(Frame.newBuilder().setHello(hello).build());
   }
@@ -126,8 +134,36 @@
     channel.ifPresent(Channel::close);
   }
 
+  /**
+   * Asks for a sign of life if none has come for a while, and closes a link that gives none.
+   *
+   * @return whether the link was closed
+   */
+  boolean supervise(long nowNanos, long quietNanos, long timeoutNanos) {
+    boolean waits = !streams.isEmpty() || !queries.isEmpty();
+    if (askedNanos != NOT_ASKED && receivedNanos - askedNanos > 0) {
+      askedNanos = NOT_ASKED;
+    }
+    if (!usable()) {
+      return false;
+    }
+    if (askedNanos != NOT_ASKED) {
+      boolean silent = nowNanos - askedNanos > timeoutNanos;
+      if (silent) {
+        close();
+      }
+      return silent;
+    }
+    if (waits && nowNanos - receivedNanos > quietNanos) {
+      askedNanos = nowNanos;
+      send(Frames.probe(nextId.incrementAndGet()));
+    }
+    return false;
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    receivedNanos = owner.nanos();
     switch (frame.getBodyCase()) {
       case REFUSED -> {
         owner.onLoad(address, Frames.toLoad(frame.getRefused().getLoad()));
@@ -149,7 +185,7 @@
       case SETTLED -> reply(frame.getSettled().getQuery(), frame);
       case PROBE_REPLY -> {
         owner.onLoad(address, Frames.toLoad(frame.getProbeReply().getLoad()));
-        reply(frame.getProbeReply().getQuery(), frame);
+        answerIfAsked(frame.getProbeReply().getQuery(), frame);
       }
       case STATE_REPLY -> onPiece(frame.getStateReply());
       case LEASE_GRANT -> reply(frame.getLeaseGrant().getQuery(), frame);
@@ -179,6 +215,13 @@
     return Optional.ofNullable(stream);
   }
 
+  // A probe that only asked for a sign of life waits for no reply.
+  private void answerIfAsked(long query, Frame frame) {
+    if (queries.containsKey(query)) {
+      reply(query, frame);
+    }
+  }
+
   private void reply(long query, Frame frame) {
     owner.onControlFrame(frame.getSerializedSize());
     CompletableFuture<Frame> waiting = queries.get(query);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -33,7 +33,18 @@
  */
 public final class PeerLinks implements AutoCloseable {
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  /** Time to open a link, in milliseconds: many times the longest delay within a region. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+  /** Time for which a node is not tried after a link could not be opened, in nanoseconds. */
+  private static final long UNREACHABLE_NANOS = 500_000_000L;
+
+  /** Silence after which a link that something waits on is asked for a sign of life. */
+  private static final long QUIET_NANOS = 300_000_000L;
+
+  /** Time in which a sign of life must come, in nanoseconds. */
+  private static final long LINK_TIMEOUT_NANOS = 700_000_000L;
+
   private static final long SETTLE_TIMEOUT_MILLIS = 500;
 
   /** Takes in load reports. */
@@ -55,6 +66,7 @@
   private final TimeSource time;
   private final Map<PeerAddress, PeerLink> links = new ConcurrentHashMap<>();
   private final Map<PeerAddress, ReentrantLock> locks = new ConcurrentHashMap<>();
+  private final Map<PeerAddress, Long> unreachableUntil = new ConcurrentHashMap<>();
   private final AtomicLong nextConnection = new AtomicLong();
   private final PeerLink.Owner owner = new LinkOwner();
 
@@ -160,8 +172,14 @@
       if (current != null && current.usable()) {
         return Optional.of(current);
       }
+      Long until = unreachableUntil.get(address);
+      if (until != null && time.nanos() - until < 0) {
+        return Optional.empty();
+      }
       Optional<PeerLink> fresh = connectNow(address);
-      fresh.ifPresent(link -> links.put(address, link));
+      fresh.ifPresentOrElse(
+          link -> links.put(address, link),
+          () -> unreachableUntil.put(address, time.nanos() + UNREACHABLE_NANOS));
       return fresh;
     } finally {
       lock.unlock();
@@ -197,6 +215,19 @@
     return Optional.of(link);
   }
 
+  /**
+   * Asks quiet links for a sign of life and closes silent ones. Called several times a second.
+   *
+   * @return addresses of links that were closed
+   */
+  public List<PeerAddress> supervise() {
+    long now = time.nanos();
+    return links.values().stream()
+        .filter(link -> link.supervise(now, QUIET_NANOS, LINK_TIMEOUT_NANOS))
+        .map(PeerLink::address)
+        .toList();
+  }
+
   /**
    * Closes links to nodes that are gone.
    *
@@ -207,6 +238,7 @@
       if (gone.test(entry.getKey())) {
         links.remove(entry.getKey(), entry.getValue());
         locks.remove(entry.getKey());
+        unreachableUntil.remove(entry.getKey());
         entry.getValue().close();
       }
     }
@@ -224,6 +256,11 @@
       loadListener.onLoad(address, load);
     }
 
+    @Override
+    public long nanos() {
+      return time.nanos();
+    }
+
     @Override
     public void onLateFrame() {
       metrics.lateFrame();
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/StateFrames.java
@@ -0,0 +1,96 @@
+package org.amaranthmoor.daemon.node;
+
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.StateReply;
+import org.amaranthmoor.protocol.node.StateRequest;
+import org.amaranthmoor.protocol.node.StatusReply;
+
+/**
+ * Frames by which nodes ask each other for the configuration and for their status.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class StateFrames {
+
+  private static final int PIECE_BYTES = 128 * 1024;
+
+  private StateFrames() {}
+
+  /**
+   * Creates the question for a configuration.
+   *
+   * @param query id of the query
+   * @param haveOffset number of the configuration known at the sender
+   * @return the frame
+   */
+  public static Frame request(long query, long haveOffset) {
+    StateRequest request =
+        StateRequest.newBuilder().setQuery(query).setHaveOffset(haveOffset).build();
+    return Frame.newBuilder().setStateRequest(request).build();
+  }
+
+  /**
+   * Creates the answer to a question for a configuration.
+   *
+   * @param query id of the query
+   * @param bytes the configuration, or nothing if it is not newer
+   * @return frames in order
+   */
+  public static List<Frame> pieces(long query, byte[] bytes) {
+    List<Frame> frames = new ArrayList<>();
+    int from = 0;
+    do {
+      int to = Math.min(bytes.length, from + PIECE_BYTES);
+      frames.add(piece(query, Arrays.copyOfRange(bytes, from, to), to == bytes.length));
+      from = to;
+    } while (from < bytes.length);
+    return frames;
+  }
+
+  private static Frame piece(long query, byte[] bytes, boolean last) {
+    StateReply reply =
+        StateReply.newBuilder()
+            .setQuery(query)
+            .setPiece(UnsafeByteOperations.unsafeWrap(bytes))
+            .setLast(last)
+            .build();
+    return Frame.newBuilder().setStateReply(reply).build();
+  }
+
+  /**
+   * Creates the answer to a question for a status.
+   *
+   * @param query id of the query
+   * @param identity the node
+   * @param version number of its configuration
+   * @param load load of its target side
+   * @param target its target
+   * @param zone its availability zone
+   * @return the frame
+   */
+  public static Frame status(
+      long query,
+      NodeIdentity identity,
+      long version,
+      LoadReport load,
+      String target,
+      ZoneName zone) {
+    StatusReply reply =
+        StatusReply.newBuilder()
+            .setQuery(query)
+            .setNode(identity.node().value())
+            .setIncarnation(identity.incarnation().value())
+            .setConfigOffset(version)
+            .setLoad(Frames.toMessage(load))
+            .setTarget(target)
+            .setZone(zone.value())
+            .build();
+    return Frame.newBuilder().setStatusReply(reply).build();
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/PeerStateReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/PeerStateReader.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 import org.amaranthmoor.daemon.node.PeerAddress;
 import org.amaranthmoor.daemon.node.PeerLinks;
+import org.amaranthmoor.daemon.node.StateFrames;
 import org.amaranthmoor.platform.CheckpointCodec;
 import org.amaranthmoor.platform.ClusterState;
 import org.amaranthmoor.protocol.node.Frame;
-import org.amaranthmoor.protocol.node.StateRequest;
 
 /**
  * Reads the newest state from another node, for times when the platform does not answer.
@@ -36,16 +36,11 @@
    * @return the state if it is newer, or empty
    */
   public Optional<ClusterState> read(PeerAddress address, long haveOffset) {
-    Optional<Frame> reply = links.query(address, id -> request(id, haveOffset), TIMEOUT_MILLIS);
+    Optional<Frame> reply =
+        links.query(address, id -> StateFrames.request(id, haveOffset), TIMEOUT_MILLIS);
     return reply
         .map(frame -> frame.getStateReply().getPiece().toByteArray())
         .flatMap(CheckpointCodec::read)
         .filter(state -> state.offset() > haveOffset);
   }
-
-  private static Frame request(long query, long haveOffset) {
-    StateRequest request =
-        StateRequest.newBuilder().setQuery(query).setHaveOffset(haveOffset).build();
-    return Frame.newBuilder().setStateRequest(request).build();
-  }
 }
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
@@ -0,0 +1,36 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.Optional;
+import org.amaranthmoor.daemon.settings.Endpoint;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.TargetRun;
+
+/**
+ * A target that the settings name and that is always there.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param address its address
+ */
+public record FixedTarget(Endpoint address) implements TargetGate {
+
+  @Override
+  public Optional<ResultCode> obstacle(ServiceName service, boolean repeatable, long nowNanos) {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<Target> target(ServiceName service, long nowNanos) {
+    return Optional.of(new Target(Optional.empty(), address));
+  }
+
+  @Override
+  public void onEnd(boolean failed, long nowNanos) {}
+
+  @Override
+  public void onRefused(long nowNanos) {}
+
+  @Override
+  public void onReplaced(TargetRun run) {}
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/OwnTargetDialect.java
@@ -0,0 +1,45 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.amaranthmoor.caller.CallHeaders;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.target.TargetRun;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpResponse;
+
+/**
+ * The project's own interface for targets, as the user guide states it.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class OwnTargetDialect implements TargetDialect {
+
+  private static final int UNAVAILABLE = 503;
+
+  /** Creates the dialect. */
+  public OwnTargetDialect() {}
+
+  @Override
+  public void state(
+      HttpMessage http, CallRequest request, Optional<TargetRun> run, long nanosLeft) {
+    http.setHeader(CallHeaders.TIMEOUT, CallHeaders.formatTimeout(nanosLeft));
+    http.setHeader(CallHeaders.ATTEMPT, Integer.toString(request.attempt()));
+  }
+
+  // A target whose contract says so refuses without running the request.
+  @Override
+  public Judgement judge(CallRequest request, HttpResponse response) {
+    Header mark = response.getFirstHeader(CallHeaders.TARGET_REFUSED);
+    boolean refused =
+        response.getCode() == UNAVAILABLE && mark != null && mark.getValue().equals("not-run");
+    return refused ? new Judgement.NotRun(ResultCode.TARGET_SHED) : new Judgement.Answer();
+  }
+
+  @Override
+  public OptionalDouble slowdown(HttpResponse response) {
+    return OptionalDouble.empty();
+  }
+}
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -0,0 +1,85 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.Optional;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.settings.Endpoint;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.TargetHealth;
+import org.amaranthmoor.target.TargetLife;
+import org.amaranthmoor.target.TargetRun;
+
+/**
+ * A target that reports to this node, and is judged by its answers too.
+ *
+ * <p>Invariant: a request is handed only to the run that reported last, for the service that it
+ * reported. Safe for use by several threads.
+ */
+public final class RegisteredTarget implements TargetGate {
+
+  private final TargetLife life;
+  private final TargetHealth health;
+  private final Runnable onChange;
+  private final EventLog log;
+
+  /**
+   * Creates a gate.
+   *
+   * @param life what the target has said
+   * @param health how it answers
+   * @param onChange told when the target may have become usable or unusable
+   * @param log told what is believed of the target
+   */
+  public RegisteredTarget(TargetLife life, TargetHealth health, Runnable onChange, EventLog log) {
+    this.life = life;
+    this.health = health;
+    this.onChange = onChange;
+    this.log = log;
+  }
+
+  @Override
+  public Optional<ResultCode> obstacle(ServiceName service, boolean repeatable, long nowNanos) {
+    if (target(service, nowNanos).isEmpty()) {
+      return Optional.of(ResultCode.TARGET_ABSENT);
+    }
+    return health.mayTry(repeatable, nowNanos)
+        ? Optional.empty()
+        : Optional.of(ResultCode.TARGET_FAILING);
+  }
+
+  @Override
+  public Optional<Target> target(ServiceName service, long nowNanos) {
+    return life.ready(nowNanos)
+        .filter(report -> report.serving().service().equals(service))
+        .map(
+            report ->
+                new Target(Optional.of(report.run()), new Endpoint(report.host(), report.port())));
+  }
+
+  @Override
+  public void onEnd(boolean failed, long nowNanos) {
+    if (health.onEnd(failed, nowNanos)) {
+      tellHealth("answers");
+    }
+  }
+
+  @Override
+  public void onRefused(long nowNanos) {
+    if (health.onRefused(nowNanos)) {
+      tellHealth("no connection");
+    }
+  }
+
+  private void tellHealth(String cause) {
+    log.warn(
+        "target-health", () -> "failing=" + health.failing() + " cause=" + EventLog.quote(cause));
+    onChange.run();
+  }
+
+  @Override
+  public void onReplaced(TargetRun run) {
+    life.onGone(run);
+    log.warn("target-replaced", () -> "run=" + run.id() + " started-millis=" + run.startedMillis());
+    onChange.run();
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -4,8 +4,10 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.Admission.Decision;
 
@@ -16,23 +18,38 @@
  */
 final class SlotWaiter implements Admission.Waiter {
 
-  private final Priority priority;
-  private final long deadlineNanos;
+  private final CallRequest request;
+  private final long latestEndNanos;
   private final CompletableFuture<Decision> decision = new CompletableFuture<>();
 
-  SlotWaiter(Priority priority, long deadlineNanos) {
-    this.priority = priority;
-    this.deadlineNanos = deadlineNanos;
+  SlotWaiter(CallRequest request, long nowNanos) {
+    this.request = request;
+    this.latestEndNanos = request.latestEndNanos(nowNanos);
   }
 
   @Override
   public Priority priority() {
-    return priority;
+    return request.priority();
   }
 
   @Override
   public long deadlineNanos() {
-    return deadlineNanos;
+    return request.deadlineNanos();
+  }
+
+  @Override
+  public RuleName rule() {
+    return request.rule();
+  }
+
+  @Override
+  public long objectiveNanos() {
+    return Math.min(request.objectiveNanos(), request.deadlineNanos());
+  }
+
+  @Override
+  public long latestEndNanos() {
+    return latestEndNanos;
   }
 
   @Override
@@ -48,7 +65,7 @@
   /** Waits until the decision falls or the deadline passes. */
   Decision await(Admission admission, long nowNanos) throws InterruptedException {
     try {
-      return decision.get(Math.max(0, deadlineNanos - nowNanos), TimeUnit.NANOSECONDS);
+      return decision.get(Math.max(0, request.deadlineNanos() - nowNanos), TimeUnit.NANOSECONDS);
     } catch (TimeoutException e) {
       return giveUp(admission, ResultCode.DEADLINE_BEFORE_START);
     } catch (ExecutionException e) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -21,12 +21,14 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final Socket socket;
+  private final Endpoint address;
   private Optional<SessionInputBuffer> buffer = Optional.empty();
   private long idleSinceNanos;
 
-  private TargetConnection(Socket socket) {
+  private TargetConnection(Socket socket, Endpoint address) {
     super(Http1Config.DEFAULT);
     this.socket = socket;
+    this.address = address;
   }
 
   static TargetConnection open(Endpoint address) throws IOException {
@@ -34,7 +36,7 @@
     try {
       socket.setTcpNoDelay(true);
       socket.connect(address.socketAddress(), CONNECT_TIMEOUT_MILLIS);
-      TargetConnection connection = new TargetConnection(socket);
+      TargetConnection connection = new TargetConnection(socket, address);
       connection.bind(socket);
       return connection;
     } catch (IOException e) {
@@ -60,6 +62,10 @@
     }
   }
 
+  Endpoint address() {
+    return address;
+  }
+
   void setTimeoutNanos(long nanos) {
     setSocketTimeout(Timeout.ofMilliseconds(Math.max(1, nanos / 1_000_000)));
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import org.amaranthmoor.daemon.settings.NodeSettings.TargetSettings;
+import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.TimeSource;
 
 /**
@@ -21,40 +21,41 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  private final TargetSettings settings;
+  private final int most;
+  private final long idleNanos;
   private final TimeSource time;
   private final ConcurrentLinkedDeque<TargetConnection> idle = new ConcurrentLinkedDeque<>();
 
   /**
    * Creates an empty pool.
    *
-   * @param settings the target
+   * @param most connections that are kept idle at most
+   * @param idleMillis time after which an idle connection is not used again, in milliseconds
    * @param time the time
    */
-  public TargetConnections(TargetSettings settings, TimeSource time) {
-    this.settings = settings;
+  public TargetConnections(int most, long idleMillis, TimeSource time) {
+    this.most = most;
+    this.idleNanos = idleMillis * NANOS_PER_MILLI;
     this.time = time;
   }
 
-  TargetConnection acquire(boolean repeatable) throws IOException {
-    long maxIdleNanos = settings.idleMillis() * NANOS_PER_MILLI;
-    if (!repeatable) {
-      maxIdleNanos = Math.min(maxIdleNanos, MAX_IDLE_FOR_UNREPEATABLE_NANOS);
-    }
+  TargetConnection acquire(Endpoint address, boolean repeatable) throws IOException {
+    long maxIdleNanos =
+        repeatable ? idleNanos : Math.min(idleNanos, MAX_IDLE_FOR_UNREPEATABLE_NANOS);
     TargetConnection connection = idle.pollFirst();
     while (connection != null) {
       boolean young = time.nanos() - connection.idleSince() <= maxIdleNanos;
-      if (young && connection.isClean()) {
+      if (young && connection.address().equals(address) && connection.isClean()) {
         return connection;
       }
       connection.abort();
       connection = idle.pollFirst();
     }
-    return TargetConnection.open(settings.address());
+    return TargetConnection.open(address);
   }
 
   void release(TargetConnection connection) {
-    if (!connection.isClean() || idle.size() >= settings.connections()) {
+    if (!connection.isClean() || idle.size() >= most) {
       connection.abort();
       return;
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -3,14 +3,16 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.SequenceInputStream;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
-import org.amaranthmoor.caller.CallHeaders;
+import java.util.function.Consumer;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.HeaderField;
@@ -18,6 +20,7 @@
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.target.TargetRun;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -49,23 +52,60 @@
           "upgrade");
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
-  private static final int UNAVAILABLE = 503;
   private static final long BODY_IDLE_NANOS = 30_000_000_000L;
 
+  /** Most answers to other requests that are passed over on one connection. */
+  private static final int MAX_FOREIGN = 3;
+
+  /** How an exchange ended. */
+  enum Kind {
+    /** By a whole answer. */
+    ANSWERED,
+    /** By a refusal of the target. */
+    REFUSED,
+    /** By an answer of another target. */
+    REPLACED,
+    /** Without a whole answer. */
+    BROKEN,
+    /** By the entry side or its deadline. */
+    CANCELLED
+  }
+
+  /**
+   * The end of an exchange.
+   *
+   * @param kind how it ended
+   * @param slowdown how much longer work takes at the target, if it said so
+   */
+  record End(Kind kind, OptionalDouble slowdown) {
+    /** {@return whether the time of the exchange tells how long the target works} */
+    boolean tellsSpeed() {
+      return kind == Kind.ANSWERED;
+    }
+  }
+
   private final InboundCall call;
+  private final Optional<TargetRun> run;
+  private final TargetDialect dialect;
   private final TargetConnection connection;
   private final TargetConnections pool;
   private final TimeSource time;
-  private final Runnable whenDone;
+  private final Consumer<End> whenDone;
+  private OptionalDouble slowdown = OptionalDouble.empty();
+  private boolean passedOver;
   private boolean done;
 
   TargetExchange(
       InboundCall call,
+      Optional<TargetRun> run,
+      TargetDialect dialect,
       TargetConnection connection,
       TargetConnections pool,
       TimeSource time,
-      Runnable whenDone) {
+      Consumer<End> whenDone) {
     this.call = call;
+    this.run = run;
+    this.dialect = dialect;
     this.connection = connection;
     this.pool = pool;
     this.time = time;
@@ -89,23 +129,23 @@
   }
 
   private Outcome<CallResponse> broken(ResultCode code, String detail) {
-    finish(false);
-    ResultCode actual = call.cancelled() ? ResultCode.DEADLINE_AFTER_START : code;
-    return new Outcome.Unknown<>(actual, detail);
+    boolean cancelled = call.cancelled();
+    finish(false, cancelled ? Kind.CANCELLED : Kind.BROKEN);
+    return new Outcome.Unknown<>(cancelled ? ResultCode.DEADLINE_AFTER_START : code, detail);
   }
 
-  private void finish(boolean reusable) {
+  private void finish(boolean reusable, Kind kind) {
     if (done) {
       return;
     }
     done = true;
     call.clearOnCancel();
-    if (reusable && !call.cancelled()) {
+    if (reusable && !passedOver && !call.cancelled()) {
       pool.release(connection);
     } else {
       connection.abort();
     }
-    whenDone.run();
+    whenDone.accept(new End(kind, slowdown));
   }
 
   private void send(ClassicHttpRequest request) throws IOException, HttpException {
@@ -121,8 +161,7 @@
     BasicClassicHttpRequest http = new BasicClassicHttpRequest(request.method(), request.path());
     request.headers().forEach(header -> http.addHeader(header.name(), header.value()));
     long nanosLeft = request.deadlineNanos() - time.nanos();
-    http.setHeader(CallHeaders.TIMEOUT, CallHeaders.formatTimeout(nanosLeft));
-    http.setHeader(CallHeaders.ATTEMPT, Integer.toString(request.attempt()));
+    dialect.state(http, request, run, nanosLeft);
     boolean hasBody = request.bodyLength() != 0 || request.prefix().length > 0;
     if (hasBody) {
       setBody(http, request);
@@ -166,13 +205,64 @@
   }
 
   private Outcome<CallResponse> toOutcome(ClassicHttpRequest request, ClassicHttpResponse response)
+      throws IOException, HttpException {
+    ClassicHttpResponse own = passOverForeign(request, response);
+    slowdown = dialect.slowdown(own);
+    return switch (dialect.judge(call.request(), own)) {
+      case TargetDialect.Judgement.Answer answer -> answer(request, own);
+      case TargetDialect.Judgement.NotRun notRun -> refused(request, own, notRun.code());
+      case TargetDialect.Judgement.Unusable unusable ->
+          broken(ResultCode.TARGET_BROKE_OFF, "the target's answer may not reach the caller");
+      case TargetDialect.Judgement.Foreign foreign ->
+          broken(ResultCode.ANSWER_FOREIGN, "the answer belongs to another request");
+    };
+  }
+
+  // A late or repeated answer to an earlier request may stand before the one that is waited for.
+  private ClassicHttpResponse passOverForeign(
+      ClassicHttpRequest request, ClassicHttpResponse response) throws IOException, HttpException {
+    ClassicHttpResponse current = response;
+    for (int i = 0; i < MAX_FOREIGN && isForeign(current); i++) {
+      passedOver = true;
+      if (current.getEntity() != null) {
+        current.getEntity().getContent().transferTo(OutputStream.nullOutputStream());
+      }
+      current = receiveHead(request);
+    }
+    return current;
+  }
+
+  private boolean isForeign(ClassicHttpResponse response) {
+    return dialect.judge(call.request(), response) instanceof TargetDialect.Judgement.Foreign;
+  }
+
+  private Outcome<CallResponse> refused(
+      ClassicHttpRequest request, ClassicHttpResponse response, ResultCode code)
       throws IOException {
-    boolean keepAlive =
-        DefaultConnectionReuseStrategy.INSTANCE.keepAlive(
-            request, response, HttpCoreContext.create());
+    boolean whole = true;
+    if (response.getEntity() != null) {
+      byte[] body =
+          readStart(response.getEntity().getContent(), response.getEntity().getContentLength());
+      whole = body.length <= CallResponse.MAX_WHOLE_BYTES;
+    }
+    boolean replaced = code == ResultCode.TARGET_REPLACED;
+    finish(
+        whole && !replaced && keepsAlive(request, response),
+        replaced ? Kind.REPLACED : Kind.REFUSED);
+    return new Outcome.NotRun<>(code, 0, "the target refused the request without running it");
+  }
+
+  private static boolean keepsAlive(ClassicHttpRequest request, ClassicHttpResponse response) {
+    return DefaultConnectionReuseStrategy.INSTANCE.keepAlive(
+        request, response, HttpCoreContext.create());
+  }
+
+  private Outcome<CallResponse> answer(ClassicHttpRequest request, ClassicHttpResponse response)
+      throws IOException {
+    boolean keepAlive = keepsAlive(request, response);
     HttpEntity entity = response.getEntity();
     if (entity == null) {
-      finish(keepAlive);
+      finish(keepAlive, Kind.ANSWERED);
       return answered(response, new CallResponse.Body.Whole(new byte[0]));
     }
     InputStream content = entity.getContent();
@@ -182,9 +272,8 @@
     byte[] first = readStart(content, entity.getContentLength());
     if (first.length <= CallResponse.MAX_WHOLE_BYTES) {
       checkLength(entity.getContentLength(), first.length);
-      finish(keepAlive);
-      return refusedByContract(response)
-          .orElseGet(() -> answered(response, new CallResponse.Body.Whole(first)));
+      finish(keepAlive, Kind.ANSWERED);
+      return answered(response, new CallResponse.Body.Whole(first));
     }
     InputStream all = new SequenceInputStream(new ByteArrayInputStream(first), content);
     return answered(response, streamed(all, entity.getContentLength(), keepAlive));
@@ -214,19 +303,13 @@
         new CallResponse(response.getCode(), headers(response), body, Optional.empty()));
   }
 
-  // A target whose contract says so refuses without running the request.
-  private Optional<Outcome<CallResponse>> refusedByContract(ClassicHttpResponse response) {
-    Header mark = response.getFirstHeader(CallHeaders.TARGET_REFUSED);
-    boolean refused =
-        response.getCode() == UNAVAILABLE && mark != null && mark.getValue().equals("not-run");
-    return refused
-        ? Optional.of(new Outcome.NotRun<>(ResultCode.TARGET_SHED, 0, "the target shed the load"))
-        : Optional.empty();
-  }
-
   private CallResponse.Body streamed(InputStream content, long length, boolean keepAlive) {
     connection.setTimeoutNanos(BODY_IDLE_NANOS);
-    InputStream watched = new WatchedBody(content, () -> finish(keepAlive), () -> finish(false));
+    InputStream watched =
+        new WatchedBody(
+            content,
+            () -> finish(keepAlive, Kind.ANSWERED),
+            () -> finish(false, call.cancelled() ? Kind.CANCELLED : Kind.BROKEN));
     return new CallResponse.Body.Streamed(watched, length);
   }
 
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
@@ -0,0 +1,64 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.Optional;
+import org.amaranthmoor.daemon.settings.Endpoint;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.TargetRun;
+
+/**
+ * Knows which target stands beside this node and whether requests may be handed to it.
+ *
+ * <p>Implementations are safe for use by several threads.
+ */
+public interface TargetGate {
+
+  /**
+   * The target that a request is handed to.
+   *
+   * @param run the run of its process, or empty if it does not tell runs apart
+   * @param address its address
+   */
+  record Target(Optional<TargetRun> run, Endpoint address) {}
+
+  /**
+   * Returns why a request that arrives may not be handed over.
+   *
+   * @param service the service it is meant for
+   * @param repeatable whether it may be lost without harm
+   * @param nowNanos the current time
+   * @return the obstacle, or empty if there is none
+   */
+  Optional<ResultCode> obstacle(ServiceName service, boolean repeatable, long nowNanos);
+
+  /**
+   * Returns the target at the moment of the hand-over.
+   *
+   * @param service the service the request is meant for
+   * @param nowNanos the current time
+   * @return the target, or empty if none takes requests for the service any more
+   */
+  Optional<Target> target(ServiceName service, long nowNanos);
+
+  /**
+   * Takes in the end of a request at the target.
+   *
+   * @param failed whether the target gave no answer of its own
+   * @param nowNanos the current time
+   */
+  void onEnd(boolean failed, long nowNanos);
+
+  /**
+   * Takes in that the target accepted no connection.
+   *
+   * @param nowNanos the current time
+   */
+  void onRefused(long nowNanos);
+
+  /**
+   * Takes in that another target answered in the place of a run.
+   *
+   * @param run the run that was meant
+   */
+  void onReplaced(TargetRun run);
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -32,6 +32,8 @@
   private final Admission admission;
   private final KeyLedger<StoredAnswer> keys;
   private final AtomicReference<HomeDuty> duty;
+  private final TargetGate gate;
+  private final TargetDialect dialect;
   private final TargetConnections connections;
   private final TimeSource time;
   private final AtomicInteger running = new AtomicInteger();
@@ -42,6 +44,8 @@
    * @param admission admits by exact load
    * @param keys remembers idempotency keys
    * @param duty says which keys may be claimed here
+   * @param gate knows the target
+   * @param dialect how the target is spoken to
    * @param connections connections to the target
    * @param time the time
    */
@@ -49,11 +53,15 @@
       Admission admission,
       KeyLedger<StoredAnswer> keys,
       AtomicReference<HomeDuty> duty,
+      TargetGate gate,
+      TargetDialect dialect,
       TargetConnections connections,
       TimeSource time) {
     this.admission = admission;
     this.keys = keys;
     this.duty = duty;
+    this.gate = gate;
+    this.dialect = dialect;
     this.connections = connections;
     this.time = time;
   }
@@ -141,13 +149,18 @@
 
   private Outcome<CallResponse> runAdmitted(InboundCall call) {
     CallRequest request = call.request();
-    SlotWaiter waiter = new SlotWaiter(request.priority(), request.deadlineNanos());
-    Decision decision = admission.offer(waiter, time.nanos());
+    long now = time.nanos();
+    Optional<ResultCode> obstacle = gate.obstacle(request.service(), request.idempotent(), now);
+    if (obstacle.isPresent()) {
+      return new Outcome.NotRun<>(obstacle.get(), 0, "the target takes no such request now");
+    }
+    SlotWaiter waiter = new SlotWaiter(request, now);
+    Decision decision = admission.offer(waiter, now);
     if (decision instanceof Decision.Queued) {
       decision = awaitSlot(call, waiter);
     }
     return switch (decision) {
-      case Decision.Admitted admitted -> runWithSlot(call);
+      case Decision.Admitted admitted -> runWithSlot(call, waiter);
       case Decision.Refused refused ->
           new Outcome.NotRun<>(
               refused.code(), refused.retryAfterMillis(), "refused by the target side");
@@ -167,30 +180,59 @@
     }
   }
 
-  private Outcome<CallResponse> runWithSlot(InboundCall call) {
+  private Outcome<CallResponse> runWithSlot(InboundCall call, SlotWaiter waiter) {
+    CallRequest request = call.request();
+    Optional<TargetGate.Target> target = gate.target(request.service(), time.nanos());
+    if (target.isEmpty()) {
+      return giveBack(waiter, ResultCode.TARGET_ABSENT, "the target has left meanwhile");
+    }
     TargetConnection connection;
     try {
-      connection = connections.acquire(call.request().idempotent());
+      connection = connections.acquire(target.get().address(), request.idempotent());
     } catch (IOException e) {
-      admission.release(-1, time.nanos());
-      return new Outcome.NotRun<>(
-          ResultCode.TARGET_UNREACHABLE, 0, "the target does not accept connections");
+      gate.onRefused(time.nanos());
+      return giveBack(
+          waiter, ResultCode.TARGET_UNREACHABLE, "the target does not accept connections");
     }
-    Optional<ResultCode> obstacle = commit(call);
+    // The target may have left while the connection was opened.
+    Optional<ResultCode> obstacle =
+        gate.target(request.service(), time.nanos()).equals(target)
+            ? commit(call)
+            : Optional.of(ResultCode.TARGET_ABSENT);
     if (obstacle.isPresent()) {
       connections.release(connection);
-      admission.release(-1, time.nanos());
-      return new Outcome.NotRun<>(obstacle.get(), 0, "not handed over");
+      return giveBack(waiter, obstacle.get(), "not handed over");
     }
     long startNanos = time.nanos();
     call.onCancel(connection::abort);
-    Runnable whenDone = () -> finish(startNanos);
-    return new TargetExchange(call, connection, connections, time, whenDone).run();
+    TargetExchange exchange =
+        new TargetExchange(
+            call,
+            target.get().run(),
+            dialect,
+            connection,
+            connections,
+            time,
+            end -> finish(waiter, target.get(), end, startNanos));
+    return exchange.run();
   }
 
-  private void finish(long startNanos) {
+  private Outcome<CallResponse> giveBack(SlotWaiter waiter, ResultCode code, String detail) {
+    admission.release(waiter, -1, time.nanos());
+    return new Outcome.NotRun<>(code, 0, detail);
+  }
+
+  private void finish(
+      SlotWaiter waiter, TargetGate.Target target, TargetExchange.End end, long startNanos) {
     long now = time.nanos();
-    admission.release(now - startNanos, now);
+    end.slowdown().ifPresent(factor -> admission.onSlowdown(factor, now));
+    admission.release(waiter, end.tellsSpeed() ? now - startNanos : -1, now);
+    switch (end.kind()) {
+      case ANSWERED, REFUSED -> gate.onEnd(false, now);
+      case BROKEN -> gate.onEnd(true, now);
+      case REPLACED -> target.run().ifPresent(gate::onReplaced);
+      case CANCELLED -> {}
+    }
   }
 
   // The last checks before the request is committed; after them only the hand-over follows.
@@ -245,6 +287,24 @@
     admission.drain(time.nanos());
   }
 
+  /**
+   * Refuses new work until {@link #open}; requests in progress go on.
+   *
+   * @param code why
+   */
+  public void close(ResultCode code) {
+    admission.close(code, time.nanos());
+  }
+
+  /**
+   * Takes new work.
+   *
+   * @param limits what the target can do
+   */
+  public void open(Admission.Limits limits) {
+    admission.open(limits);
+  }
+
   /** {@return how many requests are in progress, answers still being read included} */
   public int running() {
     return running.get();
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabRun.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabRun.java
@@ -319,7 +319,7 @@
 
     private void finished(long startedNanos, boolean failsFast) {
       long now = clock.nanos();
-      server.admission.release(now - startedNanos, now);
+      server.admission.release(this, now - startedNanos, now);
       result.workNanos += call.workNanos;
       if (call.ended) {
         result.wastedNanos += call.workNanos;
@@ -379,7 +379,9 @@
             0,
             call.deadlineNanos - now,
             false,
-            call.entry.servers.size() - call.tried.size());
+            call.entry.servers.size() - call.tried.size(),
+            RetryPolicy.MAX_ATTEMPTS,
+            false);
     if (RetryPolicy.retries(notRun, facts, call.entry.budget)) {
       attempt(call);
     } else {
