--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -72,6 +72,9 @@
   /** Time kept free at the end of a stop, in milliseconds. */
   private static final long STOP_RESERVE_MILLIS = 250;
 
+  /** Time between two tries to find peers, in milliseconds. */
+  private static final long FIND_PEERS_MILLIS = 1_000;
+
   private static final long POLL_MILLIS = 20;
 
   /** Connections to the target that are kept idle at most. */
@@ -108,6 +111,7 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
   private long shownViewHash;
+  private long nextFindNanos;
 
   /**
    * Creates a node and opens its ports; {@link #start} lets it take part.
@@ -185,6 +189,7 @@
             this::onPeerVersion,
             metrics,
             time);
+    this.nextFindNanos = time.nanos();
     this.callerListener = new HttpListener(settings.callers().socketAddress(), callerHandler);
   }
 
@@ -316,6 +321,21 @@
                 .supervise()
                 .forEach(address -> log.warn("link-silent", () -> "peer=" + address.node())));
     guarded(this::followMembership);
+    guarded(this::findPeers);
+  }
+
+  // A node that knows nobody asks the peers of its settings, until one of them answers.
+  private void findPeers() {
+    long now = time.nanos();
+    if (membership.members().size() > 1 || now - nextFindNanos < 0) {
+      return;
+    }
+    nextFindNanos = now + millis(FIND_PEERS_MILLIS);
+    gossip.send(
+        settings.peers().stream()
+            .filter(peer -> !peer.equals(settings.nodes()))
+            .map(peer -> membership.syncRequest(peer.host(), peer.port()))
+            .toList());
   }
 
   private void followMembership() {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
@@ -1,6 +1,7 @@
 package org.amaranthmoor.daemon.mesh;
 
 import java.time.Duration;
+import java.util.List;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.RegionName;
@@ -17,6 +18,7 @@
  * @param callers address for callers
  * @param nodes TCP and UDP address for other nodes
  * @param metrics address at which metrics are served
+ * @param peers addresses of some other nodes, which may be gone
  * @param firstStart whether the whole system starts for the first time
  * @param grace longest time a planned stop may take
  * @param retryShare most repeats that arrive at a service, as a share of requests
@@ -29,7 +31,14 @@
     Endpoint callers,
     Endpoint nodes,
     Endpoint metrics,
+    List<Endpoint> peers,
     boolean firstStart,
     Duration grace,
     double retryShare,
-    int retrySlack) {}
+    int retrySlack) {
+
+  /** Copies the peers. */
+  public MeshSettings {
+    peers = List.copyOf(peers);
+  }
+}
