--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -33,6 +34,9 @@
   /** Share of its expected time that a request which is overdue is expected to take still. */
   private static final double OVERDUE_SHARE = 0.25;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long MAX_SHOWN_AGE_MILLIS = 99_999;
+
   /** Rules whose service times are remembered at most. */
   private static final int MAX_RULES = 10_000;
 
@@ -399,6 +403,24 @@
         running.size(), queue.size(), limits.slots(), (long) serviceTimeNanos, closed.isPresent());
   }
 
+  /**
+   * Describes the load for a log line.
+   *
+   * @param nowNanos the current time
+   * @return key=value pairs: requests running and queued, how much longer work is expected to take,
+   *     the newest report of that and its age
+   */
+  public synchronized String describe(long nowNanos) {
+    return String.format(
+        Locale.ROOT,
+        "running=%d queued=%d expected-slowdown=%.2f reported-slowdown=%.2f report-age-ms=%d",
+        running.size(),
+        queue.size(),
+        slowdown.expected(nowNanos),
+        slowdown.lastReported(),
+        Math.min(slowdown.ageNanos(nowNanos) / NANOS_PER_MILLI, MAX_SHOWN_AGE_MILLIS));
+  }
+
   // Collects what waiters are to be told, so that they are told outside the lock.
   private static final class Notices {
     private final List<Runnable> pending = new ArrayList<>();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -134,7 +134,7 @@
     NodeQueries queries =
         new NodeQueries(settings, identity, holder, duty, targetSide, views, time);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
-    EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time);
+    EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
     this.callerHandler = new CallerHandler(views, entrySide, new OwnCallerDialect(time), time);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
@@ -201,7 +201,8 @@
         new FixedTarget(target.address()),
         new OwnTargetDialect(),
         connections,
-        time);
+        time,
+        log);
   }
 
   private InetSocketAddress address(int port) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -11,6 +11,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.model.IdempotencyKey;
@@ -42,6 +43,7 @@
   /** Most servers that one request asks, whether or not they take it. */
   private static final int MAX_ASKED = 12;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int CHUNK_BYTES = 32 * 1024;
 
@@ -51,6 +53,7 @@
   private final PeerLinks links;
   private final NodeMetrics metrics;
   private final TimeSource time;
+  private final EventLog log;
 
   /**
    * Creates an entry side.
@@ -61,6 +64,7 @@
    * @param links carries probes
    * @param metrics counts calls
    * @param time the time
+   * @param log told of each decision
    */
   public EntrySide(
       ZoneName ownZone,
@@ -68,13 +72,15 @@
       TargetAccess access,
       PeerLinks links,
       NodeMetrics metrics,
-      TimeSource time) {
+      TimeSource time,
+      EventLog log) {
     this.ownZone = ownZone;
     this.views = views;
     this.access = access;
     this.links = links;
     this.metrics = metrics;
     this.time = time;
+    this.log = log;
   }
 
   /**
@@ -82,8 +88,9 @@
    *
    * @param outcome the outcome
    * @param server the server of the last attempt, or empty if there was none
+   * @param asked nodes asked in order, each with the end of that attempt
    */
-  public record Served(Outcome<CallResponse> outcome, Optional<Server> server) {}
+  public record Served(Outcome<CallResponse> outcome, Optional<Server> server, String asked) {}
 
   /**
    * Serves a call.
@@ -97,17 +104,44 @@
     Optional<ServiceView> service =
         views.current().flatMap(view -> view.service(request.service()));
     if (service.isEmpty()) {
-      return new Served(notRun(ResultCode.NOT_READY, "no configuration yet"), Optional.empty());
+      return new Served(notRun(ResultCode.NOT_READY, "no configuration yet"), Optional.empty(), "");
     }
     service.get().retryBudget().onFirstAttempt();
     Served served = tryServers(request, caller, service.get());
-    count(service.get(), served.outcome(), time.nanos() - startNanos);
+    long nanos = time.nanos() - startNanos;
+    count(service.get(), served.outcome(), nanos);
+    log.decision(
+        "call",
+        () ->
+            "id="
+                + request.id()
+                + " rule="
+                + request.rule()
+                + " service="
+                + request.service()
+                + " config="
+                + views.current().map(EntryView::offset).orElse(-1L)
+                + " ms="
+                + nanos / NANOS_PER_MILLI
+                + " end="
+                + describe(served.outcome())
+                + " asked="
+                + served.asked());
     return served;
   }
 
+  private static String describe(Outcome<CallResponse> outcome) {
+    return switch (outcome) {
+      case Outcome.Answered<CallResponse> answered ->
+          Integer.toString(answered.response().status());
+      case Outcome.NotRun<CallResponse> notRun -> notRun.code().toString();
+      case Outcome.Unknown<CallResponse> unknown -> unknown.code().toString();
+    };
+  }
+
   private Served tryServers(CallRequest request, CallerConnection caller, ServiceView service) {
     Placement placement = new Placement(service.servers(), service.picker(), ownZone);
-    Served served = new Served(notRun(ResultCode.NO_TARGET, "no target left"), Optional.empty());
+    Served served = new Served(notRun(ResultCode.NO_TARGET, "no target left"), Optional.empty(), "");
     int reached = 0;
     for (int asked = 1; asked <= MAX_ASKED; asked++) {
       Optional<Placement.Choice> choice = choose(request, service, placement);
@@ -123,7 +157,8 @@
         reached++;
         placement.onReached(server);
       }
-      served = new Served(better(served.outcome(), outcome), Optional.of(server));
+      String history = served.asked() + server.node() + ":" + describe(outcome) + ",";
+      served = new Served(better(served.outcome(), outcome), Optional.of(server), history);
       if (!retries(request, service, placement, reached, attempt, outcome)) {
         return served;
       }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.model.TokenBucket;
@@ -11,17 +12,29 @@
 /**
  * Writes one line of key=value pairs per event.
  *
- * <p>An event that recurs is written at most a few times a second, so that a failure does not flood
- * the log. Safe for use by several threads.
+ * <p>An event that recurs is written at most a few times a second, a decision on requests at most a
+ * hundred times, so that neither floods the log; the next line of the event says how many were left
+ * out. Safe for use by several threads.
  */
 public final class EventLog {
 
+  /** Lines a second of one event, in the long run. */
   private static final double LINES_PER_SECOND = 1;
+
+  /** Lines of one event that may come at once. */
   private static final int BURST = 5;
 
+  /** Lines a second of one kind of decision on requests, in the long run. */
+  private static final double DECISIONS_PER_SECOND = 100;
+
+  /** Lines of one kind of decision on requests that may come at once. */
+  private static final int DECISION_BURST = 200;
+
   private final Logger logger;
   private final TimeSource time;
-  private final Map<String, TokenBucket> budgets = new ConcurrentHashMap<>();
+  private final Map<String, Budget> budgets = new ConcurrentHashMap<>();
+
+  private record Budget(TokenBucket lines, AtomicLong leftOut) {}
 
   /**
    * Creates a log.
@@ -54,13 +67,36 @@
     write(Level.WARNING, event, details);
   }
 
+  /**
+   * Writes a decision on one request.
+   *
+   * @param event the decision's name
+   * @param details key=value pairs
+   */
+  public void decision(String event, Supplier<String> details) {
+    write(Level.INFO, event, DECISIONS_PER_SECOND, DECISION_BURST, details);
+  }
+
   private void write(Level level, String event, Supplier<String> details) {
-    TokenBucket budget =
+    write(level, event, LINES_PER_SECOND, BURST, details);
+  }
+
+  private void write(
+      Level level, String event, double rate, int burst, Supplier<String> details) {
+    if (!logger.isLoggable(level)) {
+      return;
+    }
+    Budget budget =
         budgets.computeIfAbsent(
-            event, name -> new TokenBucket(LINES_PER_SECOND, BURST, time.nanos()));
-    if (logger.isLoggable(level) && budget.tryTake(time.nanos())) {
-      logger.log(level, () -> "event=" + event + " " + details.get());
+            event,
+            name -> new Budget(new TokenBucket(rate, burst, time.nanos()), new AtomicLong()));
+    if (!budget.lines().tryTake(time.nanos())) {
+      budget.leftOut().incrementAndGet();
+      return;
     }
+    long leftOut = budget.leftOut().getAndSet(0);
+    String suffix = leftOut > 0 ? " left-out-before=" + leftOut : "";
+    logger.log(level, () -> "event=" + event + " " + details.get() + suffix);
   }
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -151,7 +151,7 @@
             time);
     this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
-    EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time);
+    EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
     this.callerHandler = new CallerHandler(views, entrySide, callerDialect, time);
     this.directory = new InstanceDirectory(settings, records, this::onDirectory, log);
     this.registry =
@@ -203,7 +203,8 @@
         new RegisteredTarget(life, health, () -> {}, log),
         dialect,
         new TargetConnections(MAX_IDLE_CONNECTIONS, IDLE_MILLIS, time),
-        time);
+        time,
+        log);
   }
 
   private Member self() {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -27,6 +27,10 @@
     this.latestEndNanos = request.latestEndNanos(nowNanos);
   }
 
+  CallRequest request() {
+    return request;
+  }
+
   @Override
   public Priority priority() {
     return request.priority();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -10,6 +10,7 @@
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.HeaderField;
 import org.amaranthmoor.daemon.exchange.WatchedBody;
+import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Outcome;
@@ -29,6 +30,8 @@
  */
 public final class TargetSide {
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final Admission admission;
   private final KeyLedger<StoredAnswer> keys;
   private final AtomicReference<HomeDuty> duty;
@@ -36,6 +39,7 @@
   private final TargetDialect dialect;
   private final TargetConnections connections;
   private final TimeSource time;
+  private final EventLog log;
   private final AtomicInteger running = new AtomicInteger();
 
   /**
@@ -48,6 +52,7 @@
    * @param dialect how the target is spoken to
    * @param connections connections to the target
    * @param time the time
+   * @param log told of each decision
    */
   public TargetSide(
       Admission admission,
@@ -56,7 +61,8 @@
       TargetGate gate,
       TargetDialect dialect,
       TargetConnections connections,
-      TimeSource time) {
+      TimeSource time,
+      EventLog log) {
     this.admission = admission;
     this.keys = keys;
     this.duty = duty;
@@ -64,6 +70,7 @@
     this.dialect = dialect;
     this.connections = connections;
     this.time = time;
+    this.log = log;
   }
 
   /**
@@ -152,7 +159,7 @@
     long now = time.nanos();
     Optional<ResultCode> obstacle = gate.obstacle(request.service(), request.idempotent(), now);
     if (obstacle.isPresent()) {
-      return new Outcome.NotRun<>(obstacle.get(), 0, "the target takes no such request now");
+      return refuse(request, obstacle.get(), 0);
     }
     SlotWaiter waiter = new SlotWaiter(request, now);
     Decision decision = admission.offer(waiter, now);
@@ -162,8 +169,7 @@
     return switch (decision) {
       case Decision.Admitted admitted -> runWithSlot(call, waiter);
       case Decision.Refused refused ->
-          new Outcome.NotRun<>(
-              refused.code(), refused.retryAfterMillis(), "refused by the target side");
+          refuse(request, refused.code(), refused.retryAfterMillis());
       case Decision.Queued queued -> throw new IllegalStateException("the wait has ended");
     };
   }
@@ -217,6 +223,23 @@
     return exchange.run();
   }
 
+  private Outcome<CallResponse> refuse(CallRequest request, ResultCode code, long retryMillis) {
+    log.decision(
+        "target-refusal",
+        () ->
+            "id="
+                + request.id()
+                + " rule="
+                + request.rule()
+                + " code="
+                + code
+                + " left-ms="
+                + (request.deadlineNanos() - time.nanos()) / NANOS_PER_MILLI
+                + " "
+                + admission.describe(time.nanos()));
+    return new Outcome.NotRun<>(code, retryMillis, "refused by the target side");
+  }
+
   private Outcome<CallResponse> giveBack(SlotWaiter waiter, ResultCode code, String detail) {
     admission.release(waiter, -1, time.nanos());
     return new Outcome.NotRun<>(code, 0, detail);
@@ -225,6 +248,21 @@
   private void finish(
       SlotWaiter waiter, TargetGate.Target target, TargetExchange.End end, long startNanos) {
     long now = time.nanos();
+    log.decision(
+        "target-exchange",
+        () ->
+            "id="
+                + waiter.request().id()
+                + " rule="
+                + waiter.request().rule()
+                + " end="
+                + end.kind()
+                + " held-ms="
+                + (now - startNanos) / NANOS_PER_MILLI
+                + " "
+                + admission.describe(now)
+                + " slowdown="
+                + end.slowdown());
     end.slowdown().ifPresent(factor -> admission.onSlowdown(factor, now));
     admission.release(waiter, end.tellsSpeed() ? now - startNanos : -1, now);
     switch (end.kind()) {
