Start work only when the target is known not to be slow at this moment

Ruled out: the number of requests at the target (290 ms at one, 322 ms at five). Change: the target side asks the target for its speed if it is not known freshly and the end in time hangs on it; work waits for the phase to end or goes to another target that expects to answer soon.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
@@ -10,28 +10,32 @@
 /**
  * The order in which one request asks servers to take it.
  *
- * <p>Answers two load patterns: a zone with more callers than its own servers can serve, where the
- * overflow goes to other zones instead of waiting; and a burst beyond all servers, where a request
- * asks only a few before it is refused. Servers of the own availability zone come first and take a
- * request if they expect to answer well in time; then some of other zones; at last the own zone is
- * asked once more, with all the time there is. Confined to one thread.
+ * <p>Answers three load patterns: a server in a slow phase beside others that are not, which is
+ * passed over; a zone with more callers than its own servers can serve, where the overflow goes to
+ * other zones; and a burst beyond all servers, where a request asks only a few before it is
+ * refused. Servers of the own availability zone come first, those that expect to answer soon before
+ * those that still expect to be in time; then some of other zones; at last the own zone is asked to
+ * answer late, if it has room for that. Confined to one thread.
  */
 public final class Placement {
 
   /** Servers of the own availability zone that are asked at first. */
   private static final int NEAR_SERVERS = 4;
 
+  /** Servers of the own availability zone that are asked once more, with more patience. */
+  private static final int NEAR_AGAIN = 2;
+
   /** Servers of other availability zones that are asked; each costs bytes between zones. */
-  private static final int FAR_SERVERS = 3;
+  private static final int FAR_SERVERS = 2;
+
+  /** Share of the time until the objective in which an answer counts as soon, in percent. */
+  private static final int SOON_PERCENT = 60;
 
   /** Share of the time until the objective that the own zone may expect to take, in percent. */
-  private static final int NEAR_PATIENCE_PERCENT = 85;
+  private static final int NEAR_PERCENT = 92;
 
   /** Share of the time until the objective that other zones may expect to take, in percent. */
-  private static final int FAR_PATIENCE_PERCENT = 90;
-
-  /** All the time until the objective. */
-  private static final int FULL_PATIENCE_PERCENT = 100;
+  private static final int FAR_PERCENT = 85;
 
   /** All the time until the deadline. */
   private static final int NO_LIMIT = 0;
@@ -46,16 +50,18 @@
   public record Choice(Server server, int patiencePercent) {}
 
   private enum Phase {
+    SOON,
     NEAR,
     FAR,
-    LAST,
+    LATE,
     OVER;
 
     Phase next() {
       return switch (this) {
+        case SOON -> NEAR;
         case NEAR -> FAR;
-        case FAR -> LAST;
-        case LAST, OVER -> OVER;
+        case FAR -> LATE;
+        case LATE, OVER -> OVER;
       };
     }
   }
@@ -65,8 +71,9 @@
   private final List<Server> far;
   private final boolean byZone;
   private final Set<Server> asked = new HashSet<>();
+  private final Set<Server> askedAgain = new HashSet<>();
   private final Set<Server> reached = new HashSet<>();
-  private Phase phase = Phase.NEAR;
+  private Phase phase = Phase.SOON;
   private int askedInPhase;
 
   /**
@@ -109,18 +116,20 @@
 
   private Optional<Choice> nextInPhase(long nowNanos, RandomGenerator random) {
     return switch (phase) {
-      case NEAR ->
+      case SOON ->
           askedInPhase < NEAR_SERVERS
-              ? pick(near, asked, NEAR_PATIENCE_PERCENT, nowNanos, random)
+              ? pick(near, asked, SOON_PERCENT, nowNanos, random)
+              : Optional.empty();
+      case NEAR ->
+          askedInPhase < NEAR_AGAIN
+              ? pick(near, askedAgain, NEAR_PERCENT, nowNanos, random)
               : Optional.empty();
       case FAR ->
           askedInPhase < FAR_SERVERS
-              ? pick(far, asked, FAR_PATIENCE_PERCENT, nowNanos, random)
-              : Optional.empty();
-      case LAST ->
-          askedInPhase < 1
-              ? pick(near, reached, FULL_PATIENCE_PERCENT, nowNanos, random)
+              ? pick(far, asked, FAR_PERCENT, nowNanos, random)
               : Optional.empty();
+      case LATE ->
+          askedInPhase < 1 ? pick(near, reached, NO_LIMIT, nowNanos, random) : Optional.empty();
       case OVER -> Optional.empty();
     };
   }
@@ -132,7 +141,7 @@
       long nowNanos,
       RandomGenerator random) {
     Optional<Server> server = picker.pick(servers, excluded, nowNanos, random);
-    server.ifPresent(asked::add);
+    server.ifPresent(excluded::add);
     return server.map(found -> new Choice(found, patience));
   }
 
@@ -143,6 +152,8 @@
    */
   public void onReached(Server server) {
     reached.add(server);
+    asked.add(server);
+    askedAgain.add(server);
   }
 
   /** {@return whether a further server may be asked} */
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -19,9 +19,11 @@
  *
  * <p>Answers the load pattern of a burst beyond what the target can do: a request that is not
  * expected to end in time is refused at once, so that it may go elsewhere, and slots go to requests
- * that can still be in time. Invariants: at most {@link Limits#concurrency()} requests are admitted
- * and not released; a waiter gets exactly one final decision. Waiters are told outside the lock.
- * Safe for use by several threads.
+ * that can still be in time. Where the target tells its speed, work that a slow phase would make
+ * late is not started in one: the speed is asked for if it is not known freshly, and the work waits
+ * for the phase to end or goes elsewhere. Invariants: at most {@link Limits#concurrency()} requests
+ * are admitted and not released; a waiter gets exactly one final decision. Waiters are told outside
+ * the lock. Safe for use by several threads.
  */
 public final class Admission {
 
@@ -37,6 +39,12 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final long MAX_SHOWN_AGE_MILLIS = 99_999;
 
+  /**
+   * Longest wait for a slot of a request that is late already, in nanoseconds: one that waits
+   * longer takes the place of others without a gain to its caller.
+   */
+  private static final long LATE_START_NANOS = 100_000_000L;
+
   /** Rules whose service times are remembered at most. */
   private static final int MAX_RULES = 10_000;
 
@@ -142,6 +150,7 @@
   private long arrivals;
   private double serviceTimeNanos = FIRST_SERVICE_TIME_NANOS;
   private Optional<ResultCode> closed = Optional.empty();
+  private Optional<Runnable> speedProbe = Optional.empty();
 
   /**
    * Creates an admission with nothing in flight.
@@ -193,16 +202,19 @@
     }
     Queued arrived = new Queued(waiter, ++arrivals, firstGuess(waiter, nowNanos));
     boolean free = running.size() < limits.concurrency() && queue.isEmpty();
-    double endNanos =
-        (free ? (double) nowNanos : startNanos(arrived, nowNanos))
-            + expectedNanos(arrived, nowNanos);
+    double startNanos = free ? (double) nowNanos : startNanos(arrived, nowNanos);
+    double endNanos = startNanos + expectedNanos(arrived, nowNanos);
     if (!free && endNanos > waiter.deadlineNanos()) {
       return refuse(ResultCode.OVERLOADED, nowNanos);
     }
     if (endNanos > waiter.latestEndNanos()) {
       return refuse(ResultCode.TOO_LATE_HERE, nowNanos);
     }
-    if (free) {
+    boolean late = endNanos > waiter.objectiveNanos();
+    if (late && startNanos - nowNanos > LATE_START_NANOS) {
+      return refuse(ResultCode.OVERLOADED, nowNanos);
+    }
+    if (free && mayStart(arrived, nowNanos)) {
       start(arrived, nowNanos);
       return new Decision.Admitted();
     }
@@ -210,9 +222,36 @@
       return refuse(ResultCode.OVERLOADED, nowNanos);
     }
     enqueue(arrived);
+    askSpeedIfNeeded(nowNanos, notices);
     return new Decision.Queued();
   }
 
+  // Work whose end in time hangs on the target's speed starts only when that is known and good.
+  private boolean mayStart(Queued request, long nowNanos) {
+    if (!hangsOnSpeed(request, nowNanos)) {
+      return true;
+    }
+    return slowdown.fresh(nowNanos) && !slowdown.slow(nowNanos);
+  }
+
+  private boolean hangsOnSpeed(Queued request, long nowNanos) {
+    if (speedProbe.isEmpty() || !slowdown.told()) {
+      return false;
+    }
+    double workNanos = workNanos(request, nowNanos);
+    double leftNanos = (double) (request.waiter().objectiveNanos() - nowNanos);
+    boolean canWait = slowdown.laterNanos(workNanos) <= leftNanos;
+    boolean canBeInTime = workNanos <= leftNanos;
+    return slowdown.matters(workNanos, leftNanos) && (canWait || canBeInTime);
+  }
+
+  private void askSpeedIfNeeded(long nowNanos, Notices notices) {
+    boolean waits = running.size() < limits.concurrency() && !queue.isEmpty();
+    if (waits && !slowdown.fresh(nowNanos)) {
+      speedProbe.ifPresent(notices.pending::add);
+    }
+  }
+
   private double firstGuess(Waiter waiter, long nowNanos) {
     double share = limits.firstWorkShare();
     return share == 0
@@ -221,7 +260,11 @@
   }
 
   private double expectedNanos(Queued request, long nowNanos) {
-    return workNanos(request, nowNanos) * slowdown.expected(nowNanos);
+    double workNanos = workNanos(request, nowNanos);
+    double atOnceNanos = slowdown.atOnceNanos(workNanos, nowNanos);
+    return slowdown.slow(nowNanos)
+        ? Math.min(atOnceNanos, slowdown.laterNanos(workNanos))
+        : atOnceNanos;
   }
 
   private double workNanos(Queued request, long nowNanos) {
@@ -308,36 +351,67 @@
   }
 
   private void admitNext(long nowNanos, Notices notices) {
-    while (running.size() < limits.concurrency() && !queue.isEmpty()) {
-      refuseHopeless(nowNanos, notices);
-      Optional<Queued> next = next(nowNanos);
-      if (next.isEmpty()) {
-        return;
-      }
+    refuseHopeless(nowNanos, notices);
+    Optional<Queued> next = next(nowNanos);
+    while (next.isPresent()) {
       queue.remove(next.get());
       start(next.get(), nowNanos);
       notices.admit(next.get().waiter());
+      next = next(nowNanos);
     }
+    askSpeedIfNeeded(nowNanos, notices);
   }
 
   private void refuseHopeless(long nowNanos, Notices notices) {
     for (Queued queued : List.copyOf(queue)) {
-      if (queued.waiter().deadlineNanos() <= nowNanos) {
+      Waiter waiter = queued.waiter();
+      Optional<ResultCode> code = Optional.empty();
+      if (waiter.deadlineNanos() <= nowNanos) {
+        code = Optional.of(ResultCode.DEADLINE_BEFORE_START);
+      } else if (nowNanos + workNanos(queued, nowNanos) > waiter.latestEndNanos()
+          && waiter.latestEndNanos() < waiter.deadlineNanos()) {
+        code = Optional.of(ResultCode.TOO_LATE_HERE);
+      }
+      if (code.isPresent()) {
         queue.remove(queued);
-        Decision.Refused refusal = refuse(ResultCode.DEADLINE_BEFORE_START, nowNanos);
-        notices.refuse(queued.waiter(), refusal);
+        notices.refuse(waiter, refuse(code.get(), nowNanos));
       }
     }
   }
 
   // The first that can be in time; if none can, the first.
   private Optional<Queued> next(long nowNanos) {
-    return queue.stream()
-        .filter(
-            queued ->
-                nowNanos + expectedNanos(queued, nowNanos) <= queued.waiter().objectiveNanos())
+    if (running.size() >= limits.concurrency()) {
+      return Optional.empty();
+    }
+    List<Queued> startable = queue.stream().filter(q -> mayStart(q, nowNanos)).toList();
+    return startable.stream()
+        .filter(q -> nowNanos + expectedNanos(q, nowNanos) <= q.waiter().objectiveNanos())
         .findFirst()
-        .or(() -> queue.stream().findFirst());
+        .or(() -> startable.stream().findFirst());
+  }
+
+  /**
+   * Sets what asks the target for its speed; without it, speeds are taken in as they come.
+   *
+   * @param probe asks once, and ends in {@link #onSlowdown} or {@link #onSpeedUnknown}
+   */
+  public synchronized void probeSpeedBy(Runnable probe) {
+    speedProbe = Optional.of(probe);
+  }
+
+  /** {@return whether requests wait for the target to be faster, or for its speed to be known} */
+  public synchronized boolean waitsForSpeed() {
+    return running.size() < limits.concurrency() && !queue.isEmpty();
+  }
+
+  /**
+   * Admits what waits for the target's speed, as it could not be found out.
+   *
+   * @param nowNanos the current time
+   */
+  public void onSpeedUnknown(long nowNanos) {
+    onSlowdown(1, nowNanos);
   }
 
   /**
@@ -346,8 +420,13 @@
    * @param factor 1 for the usual speed, 4 if work takes four times as long
    * @param nowNanos the current time
    */
-  public synchronized void onSlowdown(double factor, long nowNanos) {
-    slowdown.onReport(factor, nowNanos);
+  public void onSlowdown(double factor, long nowNanos) {
+    Notices notices = new Notices();
+    synchronized (this) {
+      slowdown.onReport(factor, nowNanos);
+      admitNext(nowNanos, notices);
+    }
+    notices.deliver();
   }
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -141,7 +141,8 @@
 
   private Served tryServers(CallRequest request, CallerConnection caller, ServiceView service) {
     Placement placement = new Placement(service.servers(), service.picker(), ownZone);
-    Served served = new Served(notRun(ResultCode.NO_TARGET, "no target left"), Optional.empty(), "");
+    Served served =
+        new Served(notRun(ResultCode.NO_TARGET, "no target left"), Optional.empty(), "");
     int reached = 0;
     for (int asked = 1; asked <= MAX_ASKED; asked++) {
       Optional<Placement.Choice> choice = choose(request, service, placement);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
@@ -81,8 +81,7 @@
     write(level, event, LINES_PER_SECOND, BURST, details);
   }
 
-  private void write(
-      Level level, String event, double rate, int burst, Supplier<String> details) {
+  private void write(Level level, String event, double rate, int burst, Supplier<String> details) {
     if (!logger.isLoggable(level)) {
       return;
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -26,9 +26,11 @@
 import org.amaranthmoor.daemon.node.PeerAddress;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
+import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.daemon.target.RegisteredTarget;
 import org.amaranthmoor.daemon.target.TargetConnections;
 import org.amaranthmoor.daemon.target.TargetDialect;
+import org.amaranthmoor.daemon.target.TargetProbe;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.ServiceName;
@@ -195,6 +197,10 @@
 
   private TargetSide createTargetSide(TargetHealth health, TargetDialect dialect) {
     Admission admission = new Admission(FIRST_SLOTS, 0, RandomGenerator.getDefault(), time.nanos());
+    TargetConnections connections = new TargetConnections(MAX_IDLE_CONNECTIONS, IDLE_MILLIS, time);
+    TargetProbe probe =
+        new TargetProbe(this::speedQuestion, connections, dialect, admission, executor, time, log);
+    admission.probeSpeedBy(probe::ask);
     HomeDuty noDuty = new HomeDuty(new Homes.Member(settings.node(), identity.incarnation()));
     return new TargetSide(
         admission,
@@ -202,11 +208,24 @@
         new AtomicReference<>(noDuty),
         new RegisteredTarget(life, health, () -> {}, log),
         dialect,
-        new TargetConnections(MAX_IDLE_CONNECTIONS, IDLE_MILLIS, time),
+        connections,
         time,
         log);
   }
 
+  private Optional<TargetProbe.Question> speedQuestion() {
+    Optional<TargetLife.Report> report = life.ready(time.nanos());
+    Optional<String> path =
+        report.flatMap(
+            ready ->
+                config.current().map(held -> held.healthPaths().get(ready.serving().service())));
+    return report.flatMap(
+        ready ->
+            path.map(
+                found ->
+                    new TargetProbe.Question(new Endpoint(ready.host(), ready.port()), found)));
+  }
+
   private Member self() {
     return new Member(
         settings.node(),
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/RoutingConfig.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/RoutingConfig.java
@@ -14,6 +14,7 @@
  * @param version rises with each change
  * @param rules the rules
  * @param services the services
+ * @param healthPaths path of the health check of each service's targets
  * @param document the document that it was decoded from, as it is passed on to other nodes
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -21,11 +22,13 @@
     long version,
     List<HostRoutes.Rule> rules,
     Map<ServiceName, ServiceSpec> services,
+    Map<ServiceName, String> healthPaths,
     byte[] document) {
 
   /** Copies the rules and services. */
   public RoutingConfig {
     rules = List.copyOf(rules);
     services = Map.copyOf(services);
+    healthPaths = Map.copyOf(healthPaths);
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/OwnTargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/OwnTargetDialect.java
@@ -38,6 +38,11 @@
     return refused ? new Judgement.NotRun(ResultCode.TARGET_SHED) : new Judgement.Answer();
   }
 
+  @Override
+  public boolean isHealthAnswer(HttpResponse response) {
+    return true;
+  }
+
   @Override
   public OptionalDouble slowdown(HttpResponse response) {
     return OptionalDouble.empty();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
@@ -53,6 +53,14 @@
    */
   Judgement judge(CallRequest request, HttpResponse response);
 
+  /**
+   * Returns whether an answer is one to the health check, and not a late one to a request.
+   *
+   * @param response the head
+   * @return whether it is
+   */
+  boolean isHealthAnswer(HttpResponse response);
+
   /**
    * Returns how much longer work takes at the target at this moment.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -252,7 +252,8 @@
     return new Outcome.NotRun<>(code, 0, "the target refused the request without running it");
   }
 
-  private static boolean keepsAlive(ClassicHttpRequest request, ClassicHttpResponse response) {
+  /** {@return whether the connection may carry another request after the answer} */
+  static boolean keepsAlive(ClassicHttpRequest request, ClassicHttpResponse response) {
     return DefaultConnectionReuseStrategy.INSTANCE.keepAlive(
         request, response, HttpCoreContext.create());
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -168,8 +168,7 @@
     }
     return switch (decision) {
       case Decision.Admitted admitted -> runWithSlot(call, waiter);
-      case Decision.Refused refused ->
-          refuse(request, refused.code(), refused.retryAfterMillis());
+      case Decision.Refused refused -> refuse(request, refused.code(), refused.retryAfterMillis());
       case Decision.Queued queued -> throw new IllegalStateException("the wait has ended");
     };
   }
