--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -32,7 +32,11 @@
  */
 public final class EntrySide {
 
-  private static final long POLL_NANOS = 50_000_000L;
+  /**
+   * Time between two looks whether the caller has gone, in nanoseconds: well below the half second
+   * after which its request must have been given up, and rare, because each look costs a read.
+   */
+  private static final long POLL_NANOS = 200_000_000L;
 
   /**
    * Time after a deadline in which the target side's own verdict is awaited, in nanoseconds: a
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/StandardOutput.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/StandardOutput.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,6 +26,9 @@
    */
   private static final int QUEUED_LINES = 2_048;
 
+  /** Time over which lines are gathered before they are written, in milliseconds. */
+  private static final int GATHER_MILLIS = 100;
+
   private static final int FLUSH_MILLIS = 300;
   private static final int POLL_MILLIS = 10;
 
@@ -77,25 +82,27 @@
   }
 
   private void writeAll() {
+    List<String> gathered = new ArrayList<>();
     try {
       while (true) {
-        write(lines.take());
+        gathered.add(lines.take());
+        Thread.sleep(GATHER_MILLIS);
+        lines.drainTo(gathered);
         long lost = dropped.getAndSet(0);
         if (lost > 0) {
-          write("time=" + Instant.now() + " level=WARNING event=log-lines-dropped count=" + lost);
+          gathered.add(
+              "time=" + Instant.now() + " level=WARNING event=log-lines-dropped count=" + lost);
         }
+        byte[] bytes = (String.join("\n", gathered) + "\n").getBytes(StandardCharsets.UTF_8);
+        out.write(bytes, 0, bytes.length);
+        out.flush();
+        gathered.clear();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void write(String line) {
-    byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
-    out.write(bytes, 0, bytes.length);
-    out.flush();
-  }
-
   @Override
   public void flush() {
     out.flush();
