--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.model.ZoneName;
 
 /**
@@ -70,6 +71,8 @@
   private final List<Server> near;
   private final List<Server> far;
   private final boolean byZone;
+  private final ZoneName ownZone;
+  private final RuleName rule;
   private final Set<Server> asked = new HashSet<>();
   private final Set<Server> askedAgain = new HashSet<>();
   private final Set<Server> reached = new HashSet<>();
@@ -82,9 +85,12 @@
    * @param servers the servers of the service
    * @param picker ranks servers
    * @param ownZone the availability zone of the entry side
+   * @param rule the rule of the request
    */
-  public Placement(List<Server> servers, Picker picker, ZoneName ownZone) {
+  public Placement(List<Server> servers, Picker picker, ZoneName ownZone, RuleName rule) {
     this.picker = picker;
+    this.ownZone = ownZone;
+    this.rule = rule;
     this.byZone = picker.policy() instanceof PickPolicy.ZoneFirst;
     this.near = byZone ? servers.stream().filter(s -> s.zone().equals(ownZone)).toList() : servers;
     this.far =
@@ -140,7 +146,12 @@
       int patience,
       long nowNanos,
       RandomGenerator random) {
-    Optional<Server> server = picker.pick(servers, excluded, nowNanos, random);
+    Refusals.Kind kind = new Refusals.Kind(rule, patience);
+    List<Server> open =
+        servers.stream()
+            .filter(server -> !server.stats().refusals().pausing(kind, nowNanos))
+            .toList();
+    Optional<Server> server = picker.pick(open, excluded, nowNanos, random);
     server.ifPresent(excluded::add);
     return server.map(found -> new Choice(found, patience));
   }
@@ -156,6 +167,23 @@
     askedAgain.add(server);
   }
 
+  /**
+   * Notes whether a server has taken the request.
+   *
+   * @param choice the server as it was asked
+   * @param taken whether it has taken the request
+   * @param nowNanos the current time
+   */
+  public void onDecided(Choice choice, boolean taken, long nowNanos) {
+    Refusals refusals = choice.server().stats().refusals();
+    Refusals.Kind kind = new Refusals.Kind(rule, choice.patiencePercent());
+    if (taken) {
+      refusals.onTaken(kind);
+    } else if (byZone) {
+      refusals.onRefused(kind, choice.server().zone().equals(ownZone), nowNanos);
+    }
+  }
+
   /** {@return whether a further server may be asked} */
   public boolean mayGoOn() {
     return byZone ? phase != Phase.OVER : near.size() > asked.size();
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Refusals.java
@@ -0,0 +1,88 @@
+package org.amaranthmoor.balance;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.amaranthmoor.model.RuleName;
+
+/**
+ * Remembers for a short time that a server has refused requests of a rule.
+ *
+ * <p>Answers a burst beyond all servers: without it each request asks every server again, which
+ * costs processor time at all nodes and bytes between availability zones just when both are scarce.
+ * The pause doubles with each refusal in a row and ends with the first request that is taken. Safe
+ * for use by several threads.
+ */
+public final class Refusals {
+
+  /** First pause for a server in the own availability zone, in nanoseconds. */
+  private static final long FIRST_NEAR_NANOS = 20_000_000L;
+
+  /** Longest pause for a server in the own availability zone, in nanoseconds. */
+  private static final long MAX_NEAR_NANOS = 80_000_000L;
+
+  /** First pause for a server in another availability zone, in nanoseconds. */
+  private static final long FIRST_FAR_NANOS = 100_000_000L;
+
+  /** Longest pause for a server in another availability zone, in nanoseconds. */
+  private static final long MAX_FAR_NANOS = 1_600_000_000L;
+
+  /** Rules that are remembered at most. */
+  private static final int MAX_KEYS = 256;
+
+  /**
+   * Requests that are refused alike.
+   *
+   * @param rule their rule
+   * @param patiencePercent share of the time until their objective that they allowed, in percent
+   */
+  public record Kind(RuleName rule, int patiencePercent) {}
+
+  private record Pause(long untilNanos, long lengthNanos) {}
+
+  private final Map<Kind, Pause> pauses = new ConcurrentHashMap<>();
+
+  /** Creates an empty memory. */
+  Refusals() {}
+
+  /**
+   * Notes a refusal.
+   *
+   * @param kind the requests that are refused alike
+   * @param near whether the server is in the own availability zone
+   * @param nowNanos the current time
+   */
+  public void onRefused(Kind kind, boolean near, long nowNanos) {
+    if (pauses.size() >= MAX_KEYS) {
+      pauses.clear();
+    }
+    long first = near ? FIRST_NEAR_NANOS : FIRST_FAR_NANOS;
+    long most = near ? MAX_NEAR_NANOS : MAX_FAR_NANOS;
+    pauses.compute(
+        kind,
+        (key, old) -> {
+          long length = old == null ? first : Math.min(most, 2 * old.lengthNanos());
+          return new Pause(nowNanos + length, length);
+        });
+  }
+
+  /**
+   * Notes that a request was taken.
+   *
+   * @param kind the requests that are refused alike
+   */
+  public void onTaken(Kind kind) {
+    pauses.remove(kind);
+  }
+
+  /**
+   * Returns whether requests need not ask the server now.
+   *
+   * @param kind the requests that are refused alike
+   * @param nowNanos the current time
+   * @return whether it has refused such requests a moment ago
+   */
+  public boolean pausing(Kind kind, long nowNanos) {
+    Pause pause = pauses.get(kind);
+    return pause != null && nowNanos - pause.untilNanos() < 0;
+  }
+}
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -35,6 +35,7 @@
   private final AtomicLong progressNanos;
   private final AtomicLong ejectedUntilNanos = new AtomicLong(Long.MIN_VALUE);
   private final AtomicInteger ejections = new AtomicInteger();
+  private final Refusals refusals = new Refusals();
 
   /**
    * Creates statistics of a server nothing is known of.
@@ -103,6 +104,11 @@
     report.set(new StampedReport(load, nowNanos));
   }
 
+  /** {@return what is remembered of refusals} */
+  public Refusals refusals() {
+    return refusals;
+  }
+
   /** {@return the calls that this entry side has in flight at the server} */
   public int ownInFlight() {
     return inFlight.get();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -144,9 +144,10 @@
   }
 
   private Served tryServers(CallRequest request, CallerConnection caller, ServiceView service) {
-    Placement placement = new Placement(service.servers(), service.picker(), ownZone);
-    Served served =
-        new Served(notRun(ResultCode.NO_TARGET, "no target left"), Optional.empty(), "");
+    Placement placement =
+        new Placement(service.servers(), service.picker(), ownZone, request.rule());
+    ResultCode none = service.servers().isEmpty() ? ResultCode.NO_TARGET : ResultCode.OVERLOADED;
+    Served served = new Served(notRun(none, "no target takes the request"), Optional.empty(), "");
     int reached = 0;
     for (int asked = 1; asked <= MAX_ASKED; asked++) {
       Optional<Placement.Choice> choice = choose(request, service, placement);
@@ -158,6 +159,7 @@
       Attempt attempt =
           new Attempt(request.withAttempt(number, choice.get().patiencePercent()), service, server);
       Outcome<CallResponse> outcome = attempt.run(caller);
+      placement.onDecided(choice.get(), !isBusy(outcome), time.nanos());
       if (mayHaveReached(outcome)) {
         reached++;
         placement.onReached(server);
@@ -172,6 +174,14 @@
     return served;
   }
 
+  private static boolean isBusy(Outcome<CallResponse> outcome) {
+    return outcome instanceof Outcome.NotRun<CallResponse> notRun
+        && switch (notRun.code()) {
+          case OVERLOADED, TOO_LATE_HERE, TARGET_FAILING -> true;
+          default -> false;
+        };
+  }
+
   private static boolean mayHaveReached(Outcome<CallResponse> outcome) {
     return !(outcome instanceof Outcome.NotRun<CallResponse> notRun)
         || notRun.code().reachedTarget();
