--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
@@ -73,6 +73,7 @@
   private final boolean byZone;
   private final ZoneName ownZone;
   private final RuleName rule;
+  private final boolean needed;
   private final Set<Server> asked = new HashSet<>();
   private final Set<Server> askedAgain = new HashSet<>();
   private final Set<Server> reached = new HashSet<>();
@@ -86,11 +87,15 @@
    * @param picker ranks servers
    * @param ownZone the availability zone of the entry side
    * @param rule the rule of the request
+   * @param needed whether a request that runs already needs this one, which is then asked for
+   *     whatever was refused before, and for all its time
    */
-  public Placement(List<Server> servers, Picker picker, ZoneName ownZone, RuleName rule) {
+  public Placement(
+      List<Server> servers, Picker picker, ZoneName ownZone, RuleName rule, boolean needed) {
     this.picker = picker;
     this.ownZone = ownZone;
     this.rule = rule;
+    this.needed = needed;
     this.byZone = picker.policy() instanceof PickPolicy.ZoneFirst;
     this.near = byZone ? servers.stream().filter(s -> s.zone().equals(ownZone)).toList() : servers;
     this.far =
@@ -127,7 +132,7 @@
               ? pick(near, asked, SOON_PERCENT, nowNanos, random)
               : Optional.empty();
       case NEAR ->
-          askedInPhase < NEAR_AGAIN
+          askedInPhase < NEAR_AGAIN && !needed
               ? pick(near, askedAgain, NEAR_PERCENT, nowNanos, random)
               : Optional.empty();
       case FAR ->
@@ -149,7 +154,7 @@
     Refusals.Kind kind = new Refusals.Kind(rule, patience);
     List<Server> open =
         servers.stream()
-            .filter(server -> !server.stats().refusals().pausing(kind, nowNanos))
+            .filter(server -> needed || !server.stats().refusals().pausing(kind, nowNanos))
             .toList();
     Optional<Server> server = picker.pick(open, excluded, nowNanos, random);
     server.ifPresent(excluded::add);
@@ -179,7 +184,7 @@
     Refusals.Kind kind = new Refusals.Kind(rule, choice.patiencePercent());
     if (taken) {
       refusals.onTaken(kind);
-    } else if (byZone) {
+    } else if (byZone && !needed) {
       refusals.onRefused(kind, choice.server().zone().equals(ownZone), nowNanos);
     }
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Refusals.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Refusals.java
@@ -15,16 +15,16 @@
 public final class Refusals {
 
   /** First pause for a server in the own availability zone, in nanoseconds. */
-  private static final long FIRST_NEAR_NANOS = 20_000_000L;
+  private static final long FIRST_NEAR_NANOS = 10_000_000L;
 
   /** Longest pause for a server in the own availability zone, in nanoseconds. */
-  private static final long MAX_NEAR_NANOS = 80_000_000L;
+  private static final long MAX_NEAR_NANOS = 40_000_000L;
 
   /** First pause for a server in another availability zone, in nanoseconds. */
-  private static final long FIRST_FAR_NANOS = 100_000_000L;
+  private static final long FIRST_FAR_NANOS = 50_000_000L;
 
   /** Longest pause for a server in another availability zone, in nanoseconds. */
-  private static final long MAX_FAR_NANOS = 1_600_000_000L;
+  private static final long MAX_FAR_NANOS = 400_000_000L;
 
   /** Rules that are remembered at most. */
   private static final int MAX_KEYS = 256;
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -109,6 +109,13 @@
       return NO_RULE;
     }
 
+    /**
+     * {@return whether a request that runs already needs this one, so that it is worth any wait}
+     */
+    default boolean needed() {
+      return false;
+    }
+
     /** {@return until when it has to end to count as in time, in monotonic nanoseconds} */
     default long objectiveNanos() {
       return deadlineNanos();
@@ -210,7 +217,7 @@
     if (endNanos > waiter.latestEndNanos()) {
       return refuse(ResultCode.TOO_LATE_HERE, nowNanos);
     }
-    boolean late = endNanos > waiter.objectiveNanos();
+    boolean late = endNanos > waiter.objectiveNanos() && !waiter.needed();
     if (late && startNanos - nowNanos > LATE_START_NANOS) {
       return refuse(ResultCode.OVERLOADED, nowNanos);
     }
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -0,0 +1,240 @@
+package org.amaranthmoor.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.amaranthmoor.model.Priority;
+import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.RuleName;
+import org.amaranthmoor.target.Admission.Decision;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Replays load patterns on the admission's own decisions, in simulated time. */
+class AdmissionUnderLoadTests {
+
+  private static final long MILLI = 1_000_000L;
+  private static final RuleName PAGES = new RuleName("pages");
+  private static final RuleName UPLOADS = new RuleName("uploads");
+
+  private final Admission admission =
+      new Admission(new Admission.Limits(6, 48, 5, 0.3), new SplittableRandom(1), 0);
+
+  /** A request that records what it is told. */
+  private static class Request implements Admission.Waiter {
+    private final RuleName rule;
+    private final Priority priority;
+    private final long arrivedNanos;
+    private final long objectiveNanos;
+    private final long latestEndNanos;
+    private final List<Decision> told = new ArrayList<>();
+
+    Request(RuleName rule, Priority priority, long now, long objective, int patiencePercent) {
+      this.rule = rule;
+      this.priority = priority;
+      this.arrivedNanos = now;
+      this.objectiveNanos = now + objective;
+      this.latestEndNanos =
+          patiencePercent == 0 ? deadlineNanos() : now + objective / 100 * patiencePercent;
+    }
+
+    static Request page(long now) {
+      return new Request(PAGES, Priority.BROWSE, now, 500 * MILLI, 90);
+    }
+
+    @Override
+    public Priority priority() {
+      return priority;
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return arrivedNanos + 3 * (objectiveNanos - arrivedNanos);
+    }
+
+    @Override
+    public RuleName rule() {
+      return rule;
+    }
+
+    @Override
+    public long objectiveNanos() {
+      return objectiveNanos;
+    }
+
+    @Override
+    public long latestEndNanos() {
+      return latestEndNanos;
+    }
+
+    @Override
+    public void admitted() {
+      told.add(new Decision.Admitted());
+    }
+
+    @Override
+    public void refused(Decision.Refused refusal) {
+      told.add(refusal);
+    }
+  }
+
+  private void learn(RuleName rule, long workMillis) {
+    for (int i = 0; i < 20; i++) {
+      Request request = new Request(rule, Priority.NORMAL, 0, 1_000 * MILLI, 0);
+      assertInstanceOf(Decision.Admitted.class, admission.offer(request, 0));
+      admission.release(request, workMillis * MILLI, 0);
+    }
+  }
+
+  @Nested
+  class WhenKindsOfWorkDiffer {
+
+    @Test
+    void aShortRequestIsTakenWhereALongOneWouldBeLate() {
+      learn(PAGES, 40);
+      learn(UPLOADS, 400);
+      for (int i = 0; i < 5; i++) {
+        admission.offer(new Request(UPLOADS, Priority.NORMAL, 0, 1_000 * MILLI, 0), 0);
+      }
+
+      Request page = new Request(PAGES, Priority.NORMAL, 0, 500 * MILLI, 100);
+      Request upload = new Request(UPLOADS, Priority.NORMAL, 0, 700 * MILLI, 100);
+
+      assertInstanceOf(Decision.Queued.class, admission.offer(page, 0));
+      Decision.Refused refused =
+          assertInstanceOf(Decision.Refused.class, admission.offer(upload, 0));
+      assertEquals(ResultCode.TOO_LATE_HERE, refused.code());
+    }
+  }
+
+  @Nested
+  class WhenTheTargetIsInASlowPhase {
+
+    private int asked;
+
+    {
+      learn(PAGES, 160);
+      admission.probeSpeedBy(() -> asked++);
+    }
+
+    @Test
+    void workWaitsForThePhaseToEnd() {
+      admission.onSlowdown(4, 0);
+      Request page = Request.page(0);
+
+      assertInstanceOf(Decision.Queued.class, admission.offer(page, 0));
+      admission.onSlowdown(4, 50 * MILLI);
+      assertEquals(List.of(), page.told);
+      admission.onSlowdown(1, 100 * MILLI);
+
+      assertInstanceOf(Decision.Admitted.class, page.told.getFirst());
+    }
+
+    @Test
+    void workIsRefusedInTimeIfThePhaseDoesNotEnd() {
+      admission.onSlowdown(4, 0);
+      Request page = Request.page(0);
+      admission.offer(page, 0);
+
+      for (int at = 50; at <= 350; at += 50) {
+        admission.onSlowdown(4, at * MILLI);
+      }
+
+      Decision.Refused refused = assertInstanceOf(Decision.Refused.class, page.told.getFirst());
+      assertEquals(ResultCode.TOO_LATE_HERE, refused.code());
+    }
+
+    @Test
+    void shortWorkThatIsInTimeAllTheSameStarts() {
+      learn(UPLOADS, 20);
+      admission.onSlowdown(4, 0);
+
+      Request small = new Request(UPLOADS, Priority.NORMAL, 0, 150 * MILLI, 100);
+
+      assertInstanceOf(Decision.Admitted.class, admission.offer(small, 0));
+    }
+
+    @Test
+    void theSpeedIsAskedForIfItIsNotKnownFreshly() {
+      admission.onSlowdown(4, 0);
+      admission.onSlowdown(1, 10 * MILLI);
+
+      Request page = Request.page(500 * MILLI);
+      assertInstanceOf(Decision.Queued.class, admission.offer(page, 500 * MILLI));
+      assertTrue(asked > 0, "the target is asked");
+      admission.onSlowdown(1, 502 * MILLI);
+
+      assertInstanceOf(Decision.Admitted.class, page.told.getFirst());
+    }
+  }
+
+  @Nested
+  class WhenABurstExceedsTheTarget {
+
+    private record End(long atNanos, Request request, long startNanos) {}
+
+    // Twice what five slots can do of work of 160 ms, for four seconds.
+    @Test
+    void whatIsTakenIsInTimeAndTheRestIsRefusedAtOnce() {
+      learn(PAGES, 160);
+      SplittableRandom random = new SplittableRandom(7);
+      PriorityQueue<End> ends =
+          new PriorityQueue<>((a, b) -> Long.compare(a.atNanos(), b.atNanos()));
+      List<Request> waiting = new ArrayList<>();
+      int arrived = 0;
+      int inTime = 0;
+      int refusedAtOnce = 0;
+      long now = 0;
+      while (now < 4_000 * MILLI) {
+        now += (long) (-Math.log(1 - random.nextDouble()) * 16 * MILLI);
+        while (!ends.isEmpty() && ends.peek().atNanos() <= now) {
+          End end = ends.remove();
+          inTime += end.atNanos() <= end.request().objectiveNanos() ? 1 : 0;
+          admission.release(end.request(), end.atNanos() - end.startNanos(), end.atNanos());
+          startAdmitted(waiting, ends, end.atNanos());
+        }
+        Request page = Request.page(now);
+        arrived++;
+        switch (admission.offer(page, now)) {
+          case Decision.Admitted admitted -> ends.add(new End(now + 160 * MILLI, page, now));
+          case Decision.Queued queued -> waiting.add(page);
+          case Decision.Refused refused -> refusedAtOnce++;
+        }
+      }
+
+      double possible = 4_000 / 160.0 * 5;
+      assertTrue(inTime >= 0.9 * possible, "in time " + inTime + " of " + possible + " possible");
+      assertTrue(arrived - refusedAtOnce <= 1.1 * possible + 10, "taken beyond what is possible");
+    }
+
+    private static void startAdmitted(
+        List<Request> waiting, PriorityQueue<End> ends, long nowNanos) {
+      for (Request request : List.copyOf(waiting)) {
+        if (!request.told.isEmpty()) {
+          waiting.remove(request);
+          if (request.told.getFirst() instanceof Decision.Admitted) {
+            ends.add(new End(nowNanos + 160 * MILLI, request, nowNanos));
+          }
+        }
+      }
+    }
+
+    @Test
+    void aRequestThatIsLateAlreadyDoesNotWaitForOthers() {
+      learn(PAGES, 160);
+      for (int i = 0; i < 5; i++) {
+        admission.offer(Request.page(0), 0);
+      }
+      Request late = new Request(PAGES, Priority.BROWSE, 0, 100 * MILLI, 0);
+
+      Decision.Refused refused = assertInstanceOf(Decision.Refused.class, admission.offer(late, 0));
+
+      assertEquals(ResultCode.OVERLOADED, refused.code());
+    }
+  }
+}
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetHealthTests.java
@@ -0,0 +1,71 @@
+package org.amaranthmoor.target;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TargetHealthTests {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final TargetHealth health = new TargetHealth();
+
+  private void ends(int count, boolean failed) {
+    for (int i = 0; i < count; i++) {
+      health.onEnd(failed, 0);
+    }
+  }
+
+  @Test
+  void someFailuresChangeNothing() {
+    for (int i = 0; i < 100; i++) {
+      health.onEnd(i % 4 == 0, 0);
+    }
+
+    assertTrue(health.mayTry(false, 0));
+  }
+
+  @Nested
+  class WhenMostRequestsFailed {
+
+    {
+      ends(10, true);
+    }
+
+    @Test
+    void onlyOneRepeatableRequestTriesNowAndThen() {
+      assertTrue(health.mayTry(true, SECOND));
+      assertFalse(health.mayTry(true, SECOND));
+      assertTrue(health.mayTry(true, 2 * SECOND));
+    }
+
+    @Test
+    void aRequestThatMustNotBeLostDoesNotTry() {
+      assertFalse(health.mayTry(false, SECOND));
+    }
+
+    @Test
+    void successesBringTheTargetBack() {
+      ends(10, false);
+
+      assertTrue(health.mayTry(false, 0));
+    }
+
+    @Test
+    void aNewRunStartsWithoutFailures() {
+      health.reset();
+
+      assertTrue(health.mayTry(false, 0));
+    }
+  }
+
+  @Test
+  void aTargetThatAcceptsNoConnectionIsTriedAgainSoon() {
+    health.onRefused(0);
+
+    assertFalse(health.mayTry(true, 0));
+    assertTrue(health.mayTry(true, SECOND));
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
@@ -12,6 +12,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.HeaderField;
 import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.TimeSource;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -53,15 +54,17 @@
     record Wrong(Outcome.NotRun<?> refusal) implements Reading {}
   }
 
-  Reading read(ClassicHttpRequest http, Route route) throws IOException {
+  /** Reads a call; one that comes from this machine is made by a request that runs beside it. */
+  Reading read(ClassicHttpRequest http, Route route, boolean needed) throws IOException {
     return switch (dialect.read(http, route)) {
       case CallerDialect.Reading.Wrong wrong -> new Reading.Wrong(wrong.refusal());
       case CallerDialect.Reading.Stated stated ->
-          new Reading.Call(toCall(http, route, stated.facts()));
+          new Reading.Call(toCall(http, route, stated.facts(), needed));
     };
   }
 
-  private CallRequest toCall(ClassicHttpRequest http, Route route, CallerDialect.Facts facts)
+  private CallRequest toCall(
+      ClassicHttpRequest http, Route route, CallerDialect.Facts facts, boolean needed)
       throws IOException {
     long nowNanos = time.nanos();
     Duration longest = Duration.ofMillis(route.longestMillis());
@@ -82,7 +85,7 @@
         nowNanos + waitNanos,
         facts.attempt(),
         route.idempotent(),
-        route.priority(),
+        needed ? Priority.CRITICAL : route.priority(),
         facts.key(),
         prefix,
         complete,
@@ -90,6 +93,7 @@
         facts.id(),
         route.rule(),
         nowNanos + Duration.ofMillis(route.objectiveMillis()).toNanos(),
+        needed,
         route.maxAttempts(),
         0);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerDialect.java
@@ -64,6 +64,13 @@
    */
   boolean forwards(String lowerCaseName);
 
+  /**
+   * Returns whether calls from this machine are made by requests that run at its target.
+   *
+   * @return whether they are, so that they go before new work
+   */
+  boolean neededFromHere();
+
   /** {@return headers that this node adds to each request} */
   List<HeaderField> added();
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -1,6 +1,7 @@
 package org.amaranthmoor.daemon.caller;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.balance.Server;
@@ -103,7 +104,7 @@
               new Outcome.NotRun<>(ResultCode.NO_RULE, 0, "no rule matches this path")));
       return;
     }
-    switch (reader.read(http, route.get())) {
+    switch (reader.read(http, route.get(), dialect.neededFromHere() && isLocal(context))) {
       case CallReader.Reading.Wrong wrong ->
           trigger.submitResponse(dialect.refusal(wrong.refusal()));
       case CallReader.Reading.Call call -> serve(call.request(), http, trigger, context);
@@ -163,6 +164,14 @@
     return response;
   }
 
+  private static boolean isLocal(HttpContext context) {
+    return context.getAttribute(HttpListener.CONNECTION)
+            instanceof DefaultBHttpServerConnection connection
+        && connection.getRemoteAddress() instanceof InetSocketAddress remote
+        && connection.getLocalAddress() instanceof InetSocketAddress local
+        && remote.getAddress().equals(local.getAddress());
+  }
+
   private static String hostOf(ClassicHttpRequest http) {
     if (http.getAuthority() != null) {
       return http.getAuthority().toString();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -123,6 +123,8 @@
                 + request.rule()
                 + " service="
                 + request.service()
+                + " needed="
+                + request.needed()
                 + " config="
                 + views.current().map(EntryView::offset).orElse(-1L)
                 + " ms="
@@ -145,7 +147,8 @@
 
   private Served tryServers(CallRequest request, CallerConnection caller, ServiceView service) {
     Placement placement =
-        new Placement(service.servers(), service.picker(), ownZone, request.rule());
+        new Placement(
+            service.servers(), service.picker(), ownZone, request.rule(), request.needed());
     ResultCode none = service.servers().isEmpty() ? ResultCode.NO_TARGET : ResultCode.OVERLOADED;
     Served served = new Served(notRun(none, "no target takes the request"), Optional.empty(), "");
     int reached = 0;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/OwnCallerDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/OwnCallerDialect.java
@@ -100,6 +100,11 @@
     return !OWN_HEADERS.contains(lowerCaseName);
   }
 
+  @Override
+  public boolean neededFromHere() {
+    return false;
+  }
+
   @Override
   public List<HeaderField> added() {
     return List.of();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
@@ -29,6 +29,7 @@
  * @param rule the rule that it matched
  * @param objectiveNanos until when an answer counts as in time, in monotonic nanoseconds of this
  *     process
+ * @param needed whether a request that runs at a target already needs this one
  * @param maxAttempts most targets that the request may be sent to
  * @param patiencePercent share of the time until the objective within which a target side must
  *     expect to answer in order to take the request, in percent; 0 to take it until the deadline
@@ -50,6 +51,7 @@
     CallId id,
     RuleName rule,
     long objectiveNanos,
+    boolean needed,
     int maxAttempts,
     int patiencePercent) {
 
@@ -86,6 +88,7 @@
         id,
         rule,
         objectiveNanos,
+        needed,
         maxAttempts,
         patience);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -278,6 +278,11 @@
     return metrics;
   }
 
+  /** {@return the version of the configuration in force, or -1 before the first} */
+  public long configVersion() {
+    return config.version();
+  }
+
   /** {@return whether callers may send requests here} */
   public boolean ready() {
     return !stopping && views.current().isPresent();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -65,7 +65,8 @@
             .setCallId(request.id().value())
             .setRule(request.rule().value())
             .setObjectiveMicros((request.objectiveNanos() - nowNanos) / NANOS_PER_MICRO)
-            .setPatiencePercent(request.patiencePercent());
+            .setPatiencePercent(request.patiencePercent())
+            .setNeeded(request.needed());
     request.key().ifPresent(key -> open.setIdempotencyKey(key.toString()));
     request.headers().forEach(header -> open.addHeaders(toMessage(header)));
     return Frame.newBuilder().setOpenCall(open).build();
@@ -88,6 +89,7 @@
         new CallId(open.getCallId()),
         new RuleName(open.getRule()),
         nowNanos + open.getObjectiveMicros() * NANOS_PER_MICRO,
+        open.getNeeded(),
         1,
         open.getPatiencePercent());
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -46,6 +46,11 @@
     return request.rule();
   }
 
+  @Override
+  public boolean needed() {
+    return request.needed();
+  }
+
   @Override
   public long objectiveNanos() {
     return Math.min(request.objectiveNanos(), request.deadlineNanos());
