Know calls of running requests by the id of the request that runs here

A server puts the id of the request that it runs before the ids of its calls; a call counts as needed only if that request is at the target beside this node.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -135,7 +135,8 @@
         new NodeQueries(settings, identity, holder, duty, targetSide, views, time);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
     EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
-    this.callerHandler = new CallerHandler(views, entrySide, new OwnCallerDialect(time), time);
+    this.callerHandler =
+        new CallerHandler(views, entrySide, new OwnCallerDialect(time), targetSide::runs, time);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
     this.announcer = new Announcer(settings, identity, platformLog, log);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.TimeSource;
@@ -38,10 +40,12 @@
           "expect");
 
   private final CallerDialect dialect;
+  private final Predicate<CallId> runsHere;
   private final TimeSource time;
 
-  CallReader(CallerDialect dialect, TimeSource time) {
+  CallReader(CallerDialect dialect, Predicate<CallId> runsHere, TimeSource time) {
     this.dialect = dialect;
+    this.runsHere = runsHere;
     this.time = time;
   }
 
@@ -54,18 +58,17 @@
     record Wrong(Outcome.NotRun<?> refusal) implements Reading {}
   }
 
-  /** Reads a call; one that comes from this machine is made by a request that runs beside it. */
-  Reading read(ClassicHttpRequest http, Route route, boolean needed) throws IOException {
+  Reading read(ClassicHttpRequest http, Route route) throws IOException {
     return switch (dialect.read(http, route)) {
       case CallerDialect.Reading.Wrong wrong -> new Reading.Wrong(wrong.refusal());
       case CallerDialect.Reading.Stated stated ->
-          new Reading.Call(toCall(http, route, stated.facts(), needed));
+          new Reading.Call(toCall(http, route, stated.facts()));
     };
   }
 
-  private CallRequest toCall(
-      ClassicHttpRequest http, Route route, CallerDialect.Facts facts, boolean needed)
+  private CallRequest toCall(ClassicHttpRequest http, Route route, CallerDialect.Facts facts)
       throws IOException {
+    boolean needed = facts.parent().filter(runsHere).isPresent();
     long nowNanos = time.nanos();
     Duration longest = Duration.ofMillis(route.longestMillis());
     Duration wait = facts.timeout().orElse(Duration.ofMillis(route.defaultDeadlineMillis()));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerDialect.java
@@ -24,11 +24,17 @@
    * Facts that a caller states.
    *
    * @param id the caller's id of the request
+   * @param parent the request that makes this one while it runs, if the id names one
    * @param timeout how long the caller waits, if it says so
    * @param key key that marks repeats of the request, if it has one
    * @param attempt attempt number of the caller's own retries, 1 for the first
    */
-  record Facts(CallId id, Optional<Duration> timeout, Optional<IdempotencyKey> key, int attempt) {}
+  record Facts(
+      CallId id,
+      Optional<CallId> parent,
+      Optional<Duration> timeout,
+      Optional<IdempotencyKey> key,
+      int attempt) {}
 
   /** The facts, or why they cannot be read. */
   sealed interface Reading {
@@ -64,13 +70,6 @@
    */
   boolean forwards(String lowerCaseName);
 
-  /**
-   * Returns whether calls from this machine are made by requests that run at its target.
-   *
-   * @return whether they are, so that they go before new work
-   */
-  boolean neededFromHere();
-
   /** {@return headers that this node adds to each request} */
   List<HeaderField> added();
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -1,14 +1,15 @@
 package org.amaranthmoor.daemon.caller;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
@@ -45,14 +46,19 @@
    * @param views what calls are routed by
    * @param entrySide serves calls
    * @param dialect how callers state calls and are told their ends
+   * @param runsHere whether a request runs at the target beside this node
    * @param time the time
    */
   public CallerHandler(
-      EntryViews views, EntrySide entrySide, CallerDialect dialect, TimeSource time) {
+      EntryViews views,
+      EntrySide entrySide,
+      CallerDialect dialect,
+      Predicate<CallId> runsHere,
+      TimeSource time) {
     this.views = views;
     this.entrySide = entrySide;
     this.dialect = dialect;
-    this.reader = new CallReader(dialect, time);
+    this.reader = new CallReader(dialect, runsHere, time);
   }
 
   /** Asks callers from now on to close their connections after the answer. */
@@ -104,7 +110,7 @@
               new Outcome.NotRun<>(ResultCode.NO_RULE, 0, "no rule matches this path")));
       return;
     }
-    switch (reader.read(http, route.get(), dialect.neededFromHere() && isLocal(context))) {
+    switch (reader.read(http, route.get())) {
       case CallReader.Reading.Wrong wrong ->
           trigger.submitResponse(dialect.refusal(wrong.refusal()));
       case CallReader.Reading.Call call -> serve(call.request(), http, trigger, context);
@@ -164,14 +170,6 @@
     return response;
   }
 
-  private static boolean isLocal(HttpContext context) {
-    return context.getAttribute(HttpListener.CONNECTION)
-            instanceof DefaultBHttpServerConnection connection
-        && connection.getRemoteAddress() instanceof InetSocketAddress remote
-        && connection.getLocalAddress() instanceof InetSocketAddress local
-        && remote.getAddress().equals(local.getAddress());
-  }
-
   private static String hostOf(ClassicHttpRequest http) {
     if (http.getAuthority() != null) {
       return http.getAuthority().toString();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/OwnCallerDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/OwnCallerDialect.java
@@ -70,7 +70,7 @@
       }
     }
     Optional<IdempotencyKey> used = route.idempotent() ? Optional.empty() : key;
-    return new Reading.Stated(new Facts(CallId.NONE, wait, used, attempt(http)));
+    return new Reading.Stated(new Facts(CallId.NONE, Optional.empty(), wait, used, attempt(http)));
   }
 
   private static Reading wrong(String detail) {
@@ -100,11 +100,6 @@
     return !OWN_HEADERS.contains(lowerCaseName);
   }
 
-  @Override
-  public boolean neededFromHere() {
-    return false;
-  }
-
   @Override
   public List<HeaderField> added() {
     return List.of();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -154,7 +154,7 @@
     this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
     EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
-    this.callerHandler = new CallerHandler(views, entrySide, callerDialect, time);
+    this.callerHandler = new CallerHandler(views, entrySide, callerDialect, targetSide::runs, time);
     this.directory = new InstanceDirectory(settings, records, this::onDirectory, log);
     this.registry =
         new TargetRegistry(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.amaranthmoor.caller.CallHeaders;
@@ -11,6 +13,7 @@
 import org.amaranthmoor.daemon.exchange.HeaderField;
 import org.amaranthmoor.daemon.exchange.WatchedBody;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Outcome;
@@ -41,6 +44,7 @@
   private final TimeSource time;
   private final EventLog log;
   private final AtomicInteger running = new AtomicInteger();
+  private final Set<CallId> atTarget = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates a target side.
@@ -209,6 +213,7 @@
       return giveBack(waiter, obstacle.get(), "not handed over");
     }
     long startNanos = time.nanos();
+    atTarget.add(request.id());
     call.onCancel(connection::abort);
     TargetExchange exchange =
         new TargetExchange(
@@ -247,6 +252,7 @@
   private void finish(
       SlotWaiter waiter, TargetGate.Target target, TargetExchange.End end, long startNanos) {
     long now = time.nanos();
+    atTarget.remove(waiter.request().id());
     log.decision(
         "target-exchange",
         () ->
@@ -314,6 +320,16 @@
     return Optional.of(new Outcome.Unknown<>(code, "an earlier request had this key"));
   }
 
+  /**
+   * Returns whether a request is at the target now.
+   *
+   * @param id the caller's id of the request
+   * @return whether it was handed over and has not ended
+   */
+  public boolean runs(CallId id) {
+    return atTarget.contains(id);
+  }
+
   /** {@return the exact load} */
   public LoadReport load() {
     return admission.load();
