--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
@@ -8,11 +8,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.node.Member.Liveness;
 import org.junit.jupiter.api.Nested;
@@ -165,6 +167,72 @@
     }
   }
 
+  @Nested
+  class StartedAgain {
+
+    private final Membership node =
+        new Membership(member(0, "r"), GossipTimings.standard(), new SplittableRandom(5), 0);
+    private final Membership peer =
+        new Membership(member(1, "r"), GossipTimings.standard(), new SplittableRandom(6), 0);
+
+    private void deliver(Membership to, Membership.Outgoing message) {
+      for (Membership.Outgoing answer : to.receive(message.message(), 0)) {
+        (to == peer ? node : peer).receive(answer.message(), 0);
+      }
+    }
+
+    @Test
+    void aNodeLearnsThatOthersHaveSeenAGreaterIncarnationOfIt() {
+      Member earlier = member(0, "r");
+      peer.learn(
+          new Member(
+              earlier.node(),
+              new Incarnation(9),
+              Liveness.ALIVE,
+              earlier.host(),
+              earlier.port(),
+              earlier.zone(),
+              earlier.region(),
+              false,
+              0));
+
+      deliver(peer, node.syncRequest("127.0.0.1", 1));
+
+      assertEquals(Optional.of(new Incarnation(9)), node.overtakenBy());
+      node.renew(new Incarnation(10));
+      assertEquals(Optional.empty(), node.overtakenBy());
+    }
+
+    @Test
+    void aMemberThatCountsAsDeadIsToldSoAndRefutesIt() {
+      node.learn(member(1, "r"));
+      peer.learn(member(0, "r"));
+      long at = 0;
+      while (node.member(new NodeName("n1")).orElseThrow().reachable()) {
+        at += STEP;
+        node.tick(at);
+      }
+
+      for (int step = 0; step < 20; step++) {
+        at += STEP;
+        node.tick(at).forEach(message -> deliver(peer, message));
+      }
+
+      assertTrue(node.member(new NodeName("n1")).orElseThrow().reachable());
+    }
+
+    @Test
+    void aChangeOfWhatATargetServesReachesTheMembersItIsSentTo() {
+      node.learn(member(1, "r"));
+      Member.Serving serving = new Member.Serving(new ServiceName("lending"), 6);
+
+      node.setServing(Optional.of(serving), false);
+      node.announcements().forEach(message -> deliver(peer, message));
+
+      assertEquals(Optional.of(serving), peer.member(new NodeName("n0")).flatMap(Member::serving));
+    }
+  }
+
   @Nested
   class States {
 
--- /dev/null
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/log/StandardOutputTests.java
@@ -0,0 +1,61 @@
+package org.amaranthmoor.daemon.log;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class StandardOutputTests {
+
+  private static final int MORE_THAN_THE_QUEUE = 5_000;
+
+  /** An output whose reader does not read until it is let go. */
+  private static final class StuckOutput extends OutputStream {
+    private final CountDownLatch released = new CountDownLatch(1);
+    private final CountDownLatch droppedTold = new CountDownLatch(1);
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+
+    @Override
+    public void write(int value) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) {
+      try {
+        released.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+      synchronized (written) {
+        written.write(bytes, offset, length);
+        if (written.toString(StandardCharsets.UTF_8).contains("event=log-lines-dropped")) {
+          droppedTold.countDown();
+        }
+      }
+    }
+  }
+
+  @Test
+  void aStuckReaderHoldsUpNobodyAndWhatIsDroppedIsCounted() throws InterruptedException {
+    StuckOutput stuck = new StuckOutput();
+    StandardOutput output =
+        new StandardOutput(new PrintStream(stuck, false, StandardCharsets.UTF_8));
+
+    // Would never end if publishing waited for the output.
+    for (int i = 0; i < MORE_THAN_THE_QUEUE; i++) {
+      output.publish(new LogRecord(Level.INFO, "event=test number=" + i));
+    }
+    stuck.released.countDown();
+    stuck.droppedTold.await();
+
+    assertTrue(stuck.written.toString(StandardCharsets.UTF_8).contains("event=test number=0"));
+  }
+}
