Keep the slots beyond the usual ones for requests that running ones need; notice silent store connections

Besides: a waiting read of the store on a connection that has gone silent was noticed only after 22 s; keep-alive probes end it in three.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -37,6 +36,7 @@
   private static final double OVERDUE_SHARE = 0.25;
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final double HUNDRED = 100;
   private static final long MAX_SHOWN_AGE_MILLIS = 99_999;
 
   /**
@@ -208,7 +208,9 @@
       return refuse(ResultCode.DEADLINE_BEFORE_START, nowNanos);
     }
     Queued arrived = new Queued(waiter, ++arrivals, firstGuess(waiter, nowNanos));
-    boolean free = running.size() < limits.concurrency() && queue.isEmpty();
+    boolean free =
+        hasSlot(arrived)
+            && queue.stream().noneMatch(q -> ORDER.compare(q, arrived) < 0 && hasSlot(q));
     double startNanos = free ? (double) nowNanos : startNanos(arrived, nowNanos);
     double endNanos = startNanos + expectedNanos(arrived, nowNanos);
     if (!free && endNanos > waiter.deadlineNanos()) {
@@ -252,8 +254,17 @@
     return slowdown.matters(workNanos, leftNanos) && (canWait || canBeInTime);
   }
 
+  private boolean hasSlot(Queued request) {
+    return running.size() < slotsFor(request);
+  }
+
+  // A request that a running one needs is short beside it, and without it the running one is lost.
+  private int slotsFor(Queued request) {
+    return request.waiter().needed() ? limits.slots() : limits.concurrency();
+  }
+
   private void askSpeedIfNeeded(long nowNanos, Notices notices) {
-    boolean waits = running.size() < limits.concurrency() && !queue.isEmpty();
+    boolean waits = queue.stream().anyMatch(this::hasSlot);
     if (waits && !slowdown.fresh(nowNanos)) {
       speedProbe.ifPresent(notices.pending::add);
     }
@@ -285,7 +296,7 @@
       double overdueNanos = nowNanos + OVERDUE_SHARE * run.workNanos() * run.factor();
       freeNanos.add(Math.max((double) run.endNanos(), overdueNanos));
     }
-    while (freeNanos.size() < limits.concurrency()) {
+    while (freeNanos.size() < slotsFor(request)) {
       freeNanos.add((double) nowNanos);
     }
     for (Queued other : queue) {
@@ -388,10 +399,8 @@
 
   // The first that can be in time; if none can, the first.
   private Optional<Queued> next(long nowNanos) {
-    if (running.size() >= limits.concurrency()) {
-      return Optional.empty();
-    }
-    List<Queued> startable = queue.stream().filter(q -> mayStart(q, nowNanos)).toList();
+    List<Queued> startable =
+        queue.stream().filter(q -> hasSlot(q) && mayStart(q, nowNanos)).toList();
     return startable.stream()
         .filter(q -> nowNanos + expectedNanos(q, nowNanos) <= q.waiter().objectiveNanos())
         .findFirst()
@@ -409,7 +418,7 @@
 
   /** {@return whether requests wait for the target to be faster, or for its speed to be known} */
   public synchronized boolean waitsForSpeed() {
-    return running.size() < limits.concurrency() && !queue.isEmpty();
+    return queue.stream().anyMatch(this::hasSlot);
   }
 
   /**
@@ -497,14 +506,20 @@
    *     the newest report of that and its age
    */
   public synchronized String describe(long nowNanos) {
-    return String.format(
-        Locale.ROOT,
-        "running=%d queued=%d expected-slowdown=%.2f reported-slowdown=%.2f report-age-ms=%d",
-        running.size(),
-        queue.size(),
-        slowdown.expected(nowNanos),
-        slowdown.lastReported(),
-        Math.min(slowdown.ageNanos(nowNanos) / NANOS_PER_MILLI, MAX_SHOWN_AGE_MILLIS));
+    return "running="
+        + running.size()
+        + " queued="
+        + queue.size()
+        + " expected-slowdown="
+        + hundredths(slowdown.expected(nowNanos))
+        + " reported-slowdown="
+        + hundredths(slowdown.lastReported())
+        + " report-age-ms="
+        + Math.min(slowdown.ageNanos(nowNanos) / NANOS_PER_MILLI, MAX_SHOWN_AGE_MILLIS);
+  }
+
+  private static double hundredths(double value) {
+    return Math.round(value * HUNDRED) / HUNDRED;
   }
 
   // Collects what waiters are to be told, so that they are told outside the lock.
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -173,6 +173,44 @@
     }
   }
 
+  @Nested
+  class WhenRunningRequestsNeedOthers {
+
+    private Request needed(long objectiveMillis) {
+      return new Request(PAGES, Priority.CRITICAL, 0, objectiveMillis * MILLI, 0) {
+        @Override
+        public boolean needed() {
+          return true;
+        }
+      };
+    }
+
+    @Test
+    void aNeededRequestHasASlotThoughUploadsTakeAllThatAreTheirs() {
+      learn(PAGES, 15);
+      learn(UPLOADS, 400);
+      for (int i = 0; i < 20; i++) {
+        admission.offer(new Request(UPLOADS, Priority.NORMAL, 0, 9_000 * MILLI, 0), 0);
+      }
+
+      Request first = needed(80);
+      boolean taken = admission.offer(first, 0) instanceof Decision.Admitted;
+
+      assertTrue(taken || first.told.contains(new Decision.Admitted()), "the needed request runs");
+      assertEquals(6, admission.load().inFlight());
+    }
+
+    @Test
+    void aNeededRequestThatIsLateWaitsAllTheSame() {
+      learn(PAGES, 15);
+      for (int i = 0; i < 6; i++) {
+        admission.offer(needed(80), 0);
+      }
+
+      assertInstanceOf(Decision.Queued.class, admission.offer(needed(25), 0));
+    }
+  }
+
   @Nested
   class WhenABurstExceedsTheTarget {
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import jdk.net.ExtendedSocketOptions;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -33,6 +35,16 @@
 public final class ControlClient {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  /** Silence after which a waiting connection is asked for a sign of life, in seconds. */
+  private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+  /** Time between two questions for a sign of life, in seconds. */
+  private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+
+  /** Questions without an answer after which a connection counts as lost. */
+  private static final int KEEP_ALIVE_COUNT = 2;
+
   // Without the interceptor that asks servers to confirm a body first: one that does not confirm
   // would hold up every append for seconds.
   private static final HttpProcessor PROCESSOR =
@@ -142,10 +154,21 @@
     }
   }
 
+  // A connection that has gone silent without a reset would be waited on for the whole time limit
+  // of
+  // a long read.
+  private static void noticeSilence(Socket socket) throws IOException {
+    socket.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+    socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS);
+    socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, KEEP_ALIVE_INTERVAL_SECONDS);
+    socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, KEEP_ALIVE_COUNT);
+  }
+
   private Socket connect() throws NotConnectedException {
     Socket socket = new Socket();
     try {
       socket.setTcpNoDelay(true);
+      noticeSilence(socket);
       socket.connect(endpoint.socketAddress(), CONNECT_TIMEOUT_MILLIS);
       return socket;
     } catch (IOException e) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -201,12 +201,13 @@
     TargetProbe probe =
         new TargetProbe(this::speedQuestion, connections, dialect, admission, executor, time, log);
     admission.probeSpeedBy(probe::ask);
+    // Callers' repeats carry no keys here, so that nothing is claimed or remembered.
     HomeDuty noDuty = new HomeDuty(new Homes.Member(settings.node(), identity.incarnation()));
     return new TargetSide(
         admission,
         new KeyLedger<>(1, 1, answer -> 0),
         new AtomicReference<>(noDuty),
-        new RegisteredTarget(life, health, () -> {}, log),
+        new RegisteredTarget(life, health, log),
         dialect,
         connections,
         time,
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -19,7 +19,6 @@
 
   private final TargetLife life;
   private final TargetHealth health;
-  private final Runnable onChange;
   private final EventLog log;
 
   /**
@@ -27,13 +26,11 @@
    *
    * @param life what the target has said
    * @param health how it answers
-   * @param onChange told when the target may have become usable or unusable
    * @param log told what is believed of the target
    */
-  public RegisteredTarget(TargetLife life, TargetHealth health, Runnable onChange, EventLog log) {
+  public RegisteredTarget(TargetLife life, TargetHealth health, EventLog log) {
     this.life = life;
     this.health = health;
-    this.onChange = onChange;
     this.log = log;
   }
 
@@ -73,13 +70,11 @@
   private void tellHealth(String cause) {
     log.warn(
         "target-health", () -> "failing=" + health.failing() + " cause=" + EventLog.quote(cause));
-    onChange.run();
   }
 
   @Override
   public void onReplaced(TargetRun run) {
     life.onGone(run);
     log.warn("target-replaced", () -> "run=" + run.id() + " started-millis=" + run.startedMillis());
-    onChange.run();
   }
 }
