--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -249,9 +249,7 @@
     }
     double workNanos = workNanos(request, nowNanos);
     double leftNanos = (double) (request.waiter().objectiveNanos() - nowNanos);
-    boolean canWait = slowdown.laterNanos(workNanos) <= leftNanos;
-    boolean canBeInTime = workNanos <= leftNanos;
-    return slowdown.matters(workNanos, leftNanos) && (canWait || canBeInTime);
+    return slowdown.matters(workNanos, leftNanos) && workNanos <= leftNanos;
   }
 
   private boolean hasSlot(Queued request) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -378,7 +378,7 @@
           List<NodeName> reachable =
               membership.members().stream().filter(Member::reachable).map(Member::node).toList();
           executor.execute(() -> guarded(() -> checkpointer.runIfDue(reachable)));
-          links.closeIf(this::isGone);
+          links.closeGone(membership);
           if (state.offset() == ClusterState.NO_OFFSET) {
             settings.peers().forEach(this::introduce);
           }
@@ -398,13 +398,6 @@
     executor.execute(() -> guarded(() -> announcer.evict(dead.node(), dead.incarnation())));
   }
 
-  private boolean isGone(PeerAddress address) {
-    Optional<Member> member = membership.member(address.node());
-    return member.isPresent()
-        && (!member.get().reachable()
-            || member.get().incarnation().compareTo(address.incarnation()) > 0);
-  }
-
   private void guarded(Runnable task) {
     try {
       task.run();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
@@ -27,17 +27,7 @@
  */
 final class CallReader {
 
-  private static final Set<String> CONNECTION_HEADERS =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "transfer-encoding",
-          "content-length",
-          "te",
-          "trailer",
-          "upgrade",
-          "expect");
+  private static final String EXPECT = "expect";
 
   private final CallerDialect dialect;
   private final Predicate<CallId> runsHere;
@@ -110,7 +100,8 @@
     List<HeaderField> fields = new ArrayList<>();
     for (Header header : http.getHeaders()) {
       String name = header.getName().toLowerCase(Locale.ROOT);
-      boolean passes = !CONNECTION_HEADERS.contains(name) && !ofConnection.contains(name);
+      boolean passes =
+          !HeaderField.isOfConnection(name) && !name.equals(EXPECT) && !ofConnection.contains(name);
       if (passes && dialect.forwards(name)) {
         fields.add(new HeaderField(header.getName(), header.getValue()));
       }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/HeaderField.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/HeaderField.java
@@ -1,5 +1,7 @@
 package org.amaranthmoor.daemon.exchange;
 
+import java.util.Set;
+
 /**
  * One HTTP header.
  *
@@ -8,4 +10,26 @@
  * @param name the name
  * @param value the value
  */
-public record HeaderField(String name, String value) {}
+public record HeaderField(String name, String value) {
+
+  private static final Set<String> OF_CONNECTION =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "transfer-encoding",
+          "content-length",
+          "te",
+          "trailer",
+          "upgrade");
+
+  /**
+   * Returns whether a header concerns one connection only, and is not passed on.
+   *
+   * @param lowerCaseName the header's name in lower case
+   * @return whether it does
+   */
+  public static boolean isOfConnection(String lowerCaseName) {
+    return OF_CONNECTION.contains(lowerCaseName);
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -23,7 +23,6 @@
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.NodeIdentity;
-import org.amaranthmoor.daemon.node.PeerAddress;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
 import org.amaranthmoor.daemon.settings.Endpoint;
@@ -369,7 +368,7 @@
     if (viewHash != shownViewHash) {
       shownViewHash = viewHash;
       rebuildViews();
-      links.closeIf(this::isGone);
+      links.closeGone(membership);
     }
   }
 
@@ -387,13 +386,6 @@
             });
   }
 
-  private boolean isGone(PeerAddress address) {
-    Optional<Member> member = membership.member(address.node());
-    return member.isPresent()
-        && (!member.get().reachable()
-            || member.get().incarnation().compareTo(address.incarnation()) > 0);
-  }
-
   private void guarded(Runnable task) {
     try {
       task.run();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -21,6 +21,7 @@
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.Hello;
 import org.amaranthmoor.protocol.node.Settle;
@@ -233,7 +234,7 @@
    *
    * @param gone decides for each address
    */
-  public void closeIf(java.util.function.Predicate<PeerAddress> gone) {
+  private void closeIf(java.util.function.Predicate<PeerAddress> gone) {
     for (Map.Entry<PeerAddress, PeerLink> entry : List.copyOf(links.entrySet())) {
       if (gone.test(entry.getKey())) {
         links.remove(entry.getKey(), entry.getValue());
@@ -244,6 +245,23 @@
     }
   }
 
+  /**
+   * Closes links to runs of nodes that are not reachable any more or were replaced.
+   *
+   * @param membership who is alive
+   */
+  public void closeGone(Membership membership) {
+    closeIf(
+        address ->
+            membership
+                .member(address.node())
+                .filter(
+                    member ->
+                        !member.reachable()
+                            || member.incarnation().compareTo(address.incarnation()) > 0)
+                .isPresent());
+  }
+
   @Override
   public void close() {
     closeIf(address -> true);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -11,7 +11,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -40,16 +39,6 @@
  */
 final class TargetExchange {
 
-  private static final Set<String> CONNECTION_HEADERS =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "transfer-encoding",
-          "content-length",
-          "te",
-          "trailer",
-          "upgrade");
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final long BODY_IDLE_NANOS = 30_000_000_000L;
@@ -317,7 +306,7 @@
   private static List<HeaderField> headers(ClassicHttpResponse response) {
     List<HeaderField> headers = new ArrayList<>();
     for (Header header : response.getHeaders()) {
-      if (!CONNECTION_HEADERS.contains(header.getName().toLowerCase(Locale.ROOT))) {
+      if (!HeaderField.isOfConnection(header.getName().toLowerCase(Locale.ROOT))) {
         headers.add(new HeaderField(header.getName(), header.getValue()));
       }
     }
