Count a returning caller's objective from its first attempt

Cause: a caller that comes back after a refusal was given a whole new objective. It was placed behind newer requests that had more time left, and served when its objective had passed; its slot was lost to the others. Ruled out: fewer returns. Change: FirstAttempts learns the usual wait of a rule from what callers state and takes a shorter one, while callers may be coming back, for the rest of it; queues order by what is left. A request whose objective has passed asks only the own zone.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
@@ -29,6 +29,9 @@
   /** Servers of other availability zones that are asked; each costs bytes between zones. */
   private static final int FAR_SERVERS = 2;
 
+  /** Servers of the own availability zone that are asked to answer late. */
+  private static final int LATE_SERVERS = 1;
+
   /** Share of the time until the objective in which an answer counts as soon, in percent. */
   private static final int SOON_PERCENT = 60;
 
@@ -50,6 +53,18 @@
    */
   public record Choice(Server server, int patiencePercent) {}
 
+  /** What is asked for a request. */
+  public enum Worth {
+    /** A request that can still be in time. */
+    IN_TIME,
+
+    /** A request that a running one needs: asked for whatever was refused before. */
+    NEEDED,
+
+    /** A request whose objective has passed: only the own zone is asked, to answer late. */
+    LATE
+  }
+
   private enum Phase {
     SOON,
     NEAR,
@@ -77,7 +92,7 @@
   private final Set<Server> asked = new HashSet<>();
   private final Set<Server> askedAgain = new HashSet<>();
   private final Set<Server> reached = new HashSet<>();
-  private Phase phase = Phase.SOON;
+  private Phase phase;
   private int askedInPhase;
 
   /**
@@ -87,15 +102,15 @@
    * @param picker ranks servers
    * @param ownZone the availability zone of the entry side
    * @param rule the rule of the request
-   * @param needed whether a request that runs already needs this one, which is then asked for
-   *     whatever was refused before, and for all its time
+   * @param worth what is asked for the request
    */
   public Placement(
-      List<Server> servers, Picker picker, ZoneName ownZone, RuleName rule, boolean needed) {
+      List<Server> servers, Picker picker, ZoneName ownZone, RuleName rule, Worth worth) {
     this.picker = picker;
     this.ownZone = ownZone;
     this.rule = rule;
-    this.needed = needed;
+    this.needed = worth == Worth.NEEDED;
+    this.phase = worth == Worth.LATE ? Phase.LATE : Phase.SOON;
     this.byZone = picker.policy() instanceof PickPolicy.ZoneFirst;
     this.near = byZone ? servers.stream().filter(s -> s.zone().equals(ownZone)).toList() : servers;
     this.far =
@@ -140,7 +155,9 @@
               ? pick(far, asked, FAR_PERCENT, nowNanos, random)
               : Optional.empty();
       case LATE ->
-          askedInPhase < 1 ? pick(near, reached, NO_LIMIT, nowNanos, random) : Optional.empty();
+          askedInPhase < LATE_SERVERS
+              ? pick(near, reached, NO_LIMIT, nowNanos, random)
+              : Optional.empty();
       case OVER -> Optional.empty();
     };
   }
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PlacementTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PlacementTests.java
@@ -22,7 +22,7 @@
   private final SplittableRandom random = new SplittableRandom(3);
 
   private List<Placement.Choice> refusedByAll(List<Server> servers, long nowNanos) {
-    Placement placement = new Placement(servers, picker, OWN, RULE, false);
+    Placement placement = new Placement(servers, picker, OWN, RULE, Placement.Worth.IN_TIME);
     List<Placement.Choice> asked = new ArrayList<>();
     Optional<Placement.Choice> choice = placement.next(nowNanos, random);
     while (choice.isPresent()) {
@@ -54,10 +54,22 @@
     assertEquals(0, asked.getLast().patiencePercent());
   }
 
+  @Test
+  void aRequestWhoseObjectiveHasPassedAsksOnlyTheOwnZoneToAnswerLate() {
+    Placement placement =
+        new Placement(Servers.servers(6), picker, OWN, RULE, Placement.Worth.LATE);
+
+    Placement.Choice choice = placement.next(Servers.NOW, random).orElseThrow();
+
+    assertTrue(near(choice));
+    assertEquals(0, choice.patiencePercent());
+    assertTrue(placement.next(Servers.NOW, random).isEmpty());
+  }
+
   @Test
   void aServerThatMayHaveTheRequestIsNotAskedAgain() {
     List<Server> servers = Servers.servers(1);
-    Placement placement = new Placement(servers, picker, OWN, RULE, false);
+    Placement placement = new Placement(servers, picker, OWN, RULE, Placement.Worth.IN_TIME);
     Placement.Choice first = placement.next(Servers.NOW, random).orElseThrow();
 
     placement.onReached(first.server());
@@ -70,7 +82,7 @@
 
     @Test
     void aRequestThatARunningOneNeedsAsksAllTheSame() {
-      Placement placement = new Placement(servers, picker, OWN, RULE, true);
+      Placement placement = new Placement(servers, picker, OWN, RULE, Placement.Worth.NEEDED);
 
       assertTrue(placement.next(Servers.NOW + MILLI, random).isPresent());
     }
@@ -111,7 +123,7 @@
 
     @Test
     void aTakenRequestEndsThePause() {
-      Placement placement = new Placement(servers, picker, OWN, RULE, false);
+      Placement placement = new Placement(servers, picker, OWN, RULE, Placement.Worth.IN_TIME);
       Placement.Choice choice = placement.next(Servers.NOW + 2_000 * MILLI, random).orElseThrow();
       placement.onDecided(choice, true, Servers.NOW + 2_000 * MILLI);
 
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
@@ -275,4 +276,125 @@
       assertEquals(ResultCode.OVERLOADED, refused.code());
     }
   }
+
+  @Nested
+  class WhenRefusedCallersComeBack {
+
+    private static final long OBJECTIVE = 500 * MILLI;
+    private static final long PAUSE = 120 * MILLI;
+    private static final long WORK = 160 * MILLI;
+
+    /** A caller's attempt; a second one has the first attempt's time as well. */
+    private record Attempt(long firstNanos, boolean again) {}
+
+    private record Event(long atNanos, long number, Runnable action) {}
+
+    private static final class Tally {
+      private int inTime;
+    }
+
+    // A burst of twice the target's rate in which each refused caller comes back once. A caller
+    // that
+    // comes back states the rest of its objective, or the whole of it again.
+    private Tally replay(boolean restOfObjective) {
+      Admission target =
+          new Admission(new Admission.Limits(6, 48, 5, 0.3), new SplittableRandom(1), 0);
+      SplittableRandom random = new SplittableRandom(11);
+      PriorityQueue<Event> events =
+          new PriorityQueue<>(
+              Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::number));
+      Tally tally = new Tally();
+      Replay replay = new Replay(target, events, tally, restOfObjective);
+      long at = 0;
+      while (at < 6_000 * MILLI) {
+        at += (long) (-Math.log(1 - random.nextDouble()) * 16 * MILLI);
+        replay.arrives(new Attempt(at, false), at);
+      }
+      while (!events.isEmpty()) {
+        events.remove().action().run();
+      }
+      return tally;
+    }
+
+    private static final class Replay {
+      private final Admission target;
+      private final PriorityQueue<Event> events;
+      private final Tally tally;
+      private final boolean restOfObjective;
+      private long nowNanos;
+      private long numbers;
+
+      Replay(Admission target, PriorityQueue<Event> events, Tally tally, boolean restOfObjective) {
+        this.target = target;
+        this.events = events;
+        this.tally = tally;
+        this.restOfObjective = restOfObjective;
+      }
+
+      private void at(long nanos, Runnable action) {
+        events.add(
+            new Event(
+                nanos,
+                numbers++,
+                () -> {
+                  nowNanos = nanos;
+                  action.run();
+                }));
+      }
+
+      void arrives(Attempt attempt, long atNanos) {
+        at(atNanos, () -> offer(attempt));
+      }
+
+      private void offer(Attempt attempt) {
+        long objective = restOfObjective ? attempt.firstNanos() + OBJECTIVE : nowNanos + OBJECTIVE;
+        Request request =
+            new Request(PAGES, Priority.BROWSE, nowNanos, objective - nowNanos, 90) {
+              @Override
+              public void admitted() {
+                runs(attempt, this);
+              }
+
+              @Override
+              public void refused(Decision.Refused refusal) {
+                comesBack(attempt);
+              }
+            };
+        switch (target.offer(request, nowNanos)) {
+          case Decision.Admitted admitted -> runs(attempt, request);
+          case Decision.Queued queued -> {}
+          case Decision.Refused refused -> comesBack(attempt);
+        }
+      }
+
+      private void runs(Attempt attempt, Request request) {
+        at(
+            nowNanos + WORK,
+            () -> {
+              tally.inTime += nowNanos <= attempt.firstNanos() + OBJECTIVE ? 1 : 0;
+              target.release(request, WORK, nowNanos);
+            });
+      }
+
+      private void comesBack(Attempt attempt) {
+        if (!attempt.again()) {
+          arrives(new Attempt(attempt.firstNanos(), true), nowNanos + PAUSE);
+        }
+      }
+    }
+
+    @Test
+    void theyGoFirstWhileTheyCanStillBeInTime() {
+      Tally counted = replay(true);
+      Tally anew = replay(false);
+
+      assertTrue(
+          counted.inTime > anew.inTime,
+          "in time " + counted.inTime + ", with objectives counted anew " + anew.inTime);
+      double possible = 6_000 * MILLI / (double) WORK * 5;
+      assertTrue(
+          counted.inTime >= 0.9 * possible,
+          "in time " + counted.inTime + " of " + possible + " possible");
+    }
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.amaranthmoor.caller.FirstAttempts;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.HeaderField;
@@ -23,7 +24,7 @@
 /**
  * Turns a caller's HTTP request into a call.
  *
- * <p>Stateless but for the time; safe for use by several threads.
+ * <p>Stateless but for what is known of first attempts; safe for use by several threads.
  */
 final class CallReader {
 
@@ -31,11 +32,17 @@
 
   private final CallerDialect dialect;
   private final Predicate<CallId> runsHere;
+  private final FirstAttempts firstAttempts;
   private final TimeSource time;
 
-  CallReader(CallerDialect dialect, Predicate<CallId> runsHere, TimeSource time) {
+  CallReader(
+      CallerDialect dialect,
+      Predicate<CallId> runsHere,
+      FirstAttempts firstAttempts,
+      TimeSource time) {
     this.dialect = dialect;
     this.runsHere = runsHere;
+    this.firstAttempts = firstAttempts;
     this.time = time;
   }
 
@@ -85,12 +92,23 @@
         complete ? prefix.length : length,
         facts.id(),
         route.rule(),
-        nowNanos + Duration.ofMillis(route.objectiveMillis()).toNanos(),
+        nowNanos + Duration.ofMillis(objectiveMillis(route, facts, needed, nowNanos)).toNanos(),
         needed,
         route.maxAttempts(),
         0);
   }
 
+  // What is left of the objective, which counts from the caller's first attempt; negative once it
+  // has passed. A call that a running request needs states the rest of that request's wait.
+  private long objectiveMillis(
+      Route route, CallerDialect.Facts facts, boolean needed, long nowNanos) {
+    if (needed || facts.timeout().isEmpty()) {
+      return route.objectiveMillis();
+    }
+    long waitMillis = facts.timeout().get().toMillis();
+    return route.objectiveMillis() - firstAttempts.spentMillis(route.rule(), waitMillis, nowNanos);
+  }
+
   private static byte[] readPrefix(InputStream body) throws IOException {
     return body.readNBytes(CallRequest.MAX_PREFIX_BYTES);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.amaranthmoor.balance.Server;
+import org.amaranthmoor.caller.FirstAttempts;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -32,10 +33,14 @@
  */
 public final class CallerHandler implements HttpServerRequestHandler {
 
+  private static final int FIRST_SERVER_ERROR = 500;
+
   private final EntryViews views;
   private final EntrySide entrySide;
   private final CallReader reader;
   private final CallerDialect dialect;
+  private final FirstAttempts firstAttempts = new FirstAttempts();
+  private final TimeSource time;
   private final AtomicInteger inProgress = new AtomicInteger();
   private volatile boolean closing;
   private volatile boolean refusing;
@@ -58,7 +63,8 @@
     this.views = views;
     this.entrySide = entrySide;
     this.dialect = dialect;
-    this.reader = new CallReader(dialect, runsHere, time);
+    this.time = time;
+    this.reader = new CallReader(dialect, runsHere, firstAttempts, time);
   }
 
   /** Asks callers from now on to close their connections after the answer. */
@@ -122,6 +128,9 @@
       throws HttpException, IOException {
     HttpCallerConnection caller = new HttpCallerConnection(http, context);
     EntrySide.Served served = entrySide.serve(request, caller);
+    if (!isServed(served.outcome())) {
+      firstAttempts.onUnserved(request.rule(), time.nanos());
+    }
     ClassicHttpResponse response =
         switch (served.outcome()) {
           case Outcome.Answered<CallResponse> answered ->
@@ -136,6 +145,11 @@
     submit(trigger, response, served.outcome());
   }
 
+  private static boolean isServed(Outcome<CallResponse> outcome) {
+    return outcome instanceof Outcome.Answered<CallResponse> answered
+        && answered.response().status() < FIRST_SERVER_ERROR;
+  }
+
   private static void submit(
       ResponseTrigger trigger, ClassicHttpResponse response, Outcome<CallResponse> outcome)
       throws HttpException, IOException {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -125,6 +125,8 @@
                 + request.service()
                 + " needed="
                 + request.needed()
+                + " objective-ms="
+                + (request.objectiveNanos() - startNanos) / NANOS_PER_MILLI
                 + " config="
                 + views.current().map(EntryView::offset).orElse(-1L)
                 + " ms="
@@ -147,8 +149,7 @@
 
   private Served tryServers(CallRequest request, CallerConnection caller, ServiceView service) {
     Placement placement =
-        new Placement(
-            service.servers(), service.picker(), ownZone, request.rule(), request.needed());
+        new Placement(service.servers(), service.picker(), ownZone, request.rule(), worth(request));
     ResultCode none = service.servers().isEmpty() ? ResultCode.NO_TARGET : ResultCode.OVERLOADED;
     Served served = new Served(notRun(none, "no target takes the request"), Optional.empty(), "");
     int reached = 0;
@@ -177,6 +178,15 @@
     return served;
   }
 
+  private Placement.Worth worth(CallRequest request) {
+    if (request.needed()) {
+      return Placement.Worth.NEEDED;
+    }
+    return request.objectiveNanos() - time.nanos() > 0
+        ? Placement.Worth.IN_TIME
+        : Placement.Worth.LATE;
+  }
+
   private static boolean isBusy(Outcome<CallResponse> outcome) {
     return outcome instanceof Outcome.NotRun<CallResponse> notRun
         && switch (notRun.code()) {
