Tell refused callers to come back while they can still be in time

Ruled out: longer waits. A caller repeats once or twice whatever it is told, and waits at most a third of its time. Change: ReturnTimes spreads returns over the first two fifths of the time until the objective; who cannot be in time any more, or finds nobody there, waits as long as it accepts. The own interface keeps the target side's advice.

--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/ReturnTimes.java
@@ -0,0 +1,64 @@
+package org.amaranthmoor.caller;
+
+import java.util.random.RandomGenerator;
+import org.amaranthmoor.model.ResultCode;
+
+/**
+ * Tells callers whose request was refused when to come back.
+ *
+ * <p>Answers two load patterns. In a burst, one who comes back after its objective has passed is
+ * served for little, and takes time from others: it is told to come back while it can still be in
+ * time, spread over that time so that those refused together do not return together. After a mass
+ * restart, no target is known for a second or more: then the longest wait that a caller accepts is
+ * best. Stateless; safe for use by several threads.
+ */
+public final class ReturnTimes {
+
+  /** Part of the time until the objective after which work can still be done in time. */
+  private static final double IN_TIME_SHARE = 0.4;
+
+  /** Earliest return as a part of the latest one. */
+  private static final double EARLIEST = 0.25;
+
+  /** Earliest return as a part of the latest one, where waiting long is best. */
+  private static final double EARLIEST_IF_LATE = 0.75;
+
+  /** Least wait that lets anything change, in milliseconds: some answers of a target. */
+  private static final double LEAST_MILLIS = 20;
+
+  private static final double NANOS_PER_MILLI = 1_000_000;
+
+  private ReturnTimes() {}
+
+  /**
+   * Returns after which time a refused caller should come back.
+   *
+   * @param code why it was refused
+   * @param objectiveLeftNanos time until its objective, in nanoseconds; negative if that has passed
+   * @param deadlineLeftNanos time until its deadline, in nanoseconds
+   * @param acceptedShare part of the time until its deadline that the caller accepts to wait
+   * @param random source of randomness
+   * @return the time in milliseconds, at least 1
+   */
+  public static long millis(
+      ResultCode code,
+      long objectiveLeftNanos,
+      long deadlineLeftNanos,
+      double acceptedShare,
+      RandomGenerator random) {
+    double acceptedMillis = deadlineLeftNanos / NANOS_PER_MILLI * acceptedShare;
+    double inTimeMillis = objectiveLeftNanos / NANOS_PER_MILLI * IN_TIME_SHARE;
+    boolean late = isAbsence(code) || inTimeMillis < LEAST_MILLIS;
+    double latest = late ? acceptedMillis : Math.min(inTimeMillis, acceptedMillis);
+    double earliest = latest * (late ? EARLIEST_IF_LATE : EARLIEST);
+    return Math.max(1, (long) (earliest + random.nextDouble() * (latest - earliest)));
+  }
+
+  // Whether nobody is there to serve the request, which takes a while to change.
+  private static boolean isAbsence(ResultCode code) {
+    return switch (code) {
+      case NO_TARGET, NOT_READY, NODE_UNREACHABLE, TARGET_UNREACHABLE, TARGET_ABSENT -> true;
+      default -> false;
+    };
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerDialect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -81,6 +82,12 @@
    */
   void complete(ClassicHttpResponse response, Optional<Server> server);
 
+  /**
+   * {@return the part of its time left that a refused caller waits before it comes back, if such
+   * callers wait no longer than that; empty if they follow any advice}
+   */
+  OptionalDouble acceptedWaitShare();
+
   /**
    * Tells the caller that its request was not run.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.FirstAttempts;
+import org.amaranthmoor.caller.ReturnTimes;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -135,7 +138,8 @@
         switch (served.outcome()) {
           case Outcome.Answered<CallResponse> answered ->
               answer(answered.response(), served.server(), http);
-          case Outcome.NotRun<CallResponse> notRun -> dialect.refusal(notRun);
+          case Outcome.NotRun<CallResponse> notRun ->
+              dialect.refusal(withReturnTime(notRun, request));
           case Outcome.Unknown<CallResponse> unknown -> dialect.unknown(unknown);
         };
     if (closing || !caller.bodyEnded(request)) {
@@ -145,6 +149,23 @@
     submit(trigger, response, served.outcome());
   }
 
+  private Outcome.NotRun<CallResponse> withReturnTime(
+      Outcome.NotRun<CallResponse> notRun, CallRequest request) {
+    OptionalDouble accepted = dialect.acceptedWaitShare();
+    if (accepted.isEmpty()) {
+      return notRun;
+    }
+    long now = time.nanos();
+    long millis =
+        ReturnTimes.millis(
+            notRun.code(),
+            request.objectiveNanos() - now,
+            request.deadlineNanos() - now,
+            accepted.getAsDouble(),
+            ThreadLocalRandom.current());
+    return new Outcome.NotRun<>(notRun.code(), millis, notRun.detail());
+  }
+
   private static boolean isServed(Outcome<CallResponse> outcome) {
     return outcome instanceof Outcome.Answered<CallResponse> answered
         && answered.response().status() < FIRST_SERVER_ERROR;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/OwnCallerDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/OwnCallerDialect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.amaranthmoor.balance.Server;
@@ -111,6 +112,11 @@
     server.ifPresent(found -> response.setHeader(CallHeaders.TARGET, found.target().value()));
   }
 
+  @Override
+  public OptionalDouble acceptedWaitShare() {
+    return OptionalDouble.empty();
+  }
+
   @Override
   public ClassicHttpResponse refusal(Outcome.NotRun<?> notRun) {
     boolean invalid = notRun.code().kind() == ResultCode.Kind.INVALID;
