Handle a planned stop by the signal itself, so that its lines are written

Cause: the stop ran in a shutdown hook. Change: SIGTERM and SIGINT are handled by the node; the reserve is 600 ms, and network threads get 100 ms.

--- a/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/NodeCommand.java
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/NodeCommand.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import org.amaranthmoor.daemon.NodeDaemon;
+import org.amaranthmoor.daemon.Signals;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.settings.NodeSettings;
 import org.amaranthmoor.daemon.settings.NodeSettingsReader;
@@ -38,13 +39,12 @@
     TimeSource time = TimeSource.system();
     EventLog log = new EventLog(System.getLogger("org.amaranthmoor.node"), time);
     NodeDaemon daemon = new NodeDaemon(settings, time, log);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "planned-stop"));
+    Signals.onStop(() -> stop(daemon));
     daemon.start();
     Thread.sleep(Long.MAX_VALUE);
     return ExitCode.OK;
   }
 
-  // A further SIGTERM changes nothing while this runs.
   private static void stop(NodeDaemon daemon) {
     boolean finished = daemon.stop();
     Runtime.getRuntime().halt(finished ? ExitCode.OK : ExitCode.FAILED);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -70,8 +70,11 @@
   /** Time for which other nodes may still send after a stop began, in milliseconds. */
   private static final long NODES_LEAVE_MILLIS = 600;
 
-  /** Time kept free at the end of a stop, in milliseconds. */
-  private static final long STOP_RESERVE_MILLIS = 250;
+  /** Time kept free at the end of a stop, in milliseconds; closing takes less on a slow machine. */
+  private static final long STOP_RESERVE_MILLIS = 600;
+
+  /** Longest wait for the network threads to end, in milliseconds. */
+  private static final long NETWORK_END_MILLIS = 100;
 
   /** Time between two tries to find peers, in milliseconds. */
   private static final long FIND_PEERS_MILLIS = 1_000;
@@ -452,7 +455,9 @@
       gossip.close();
       links.close();
       executor.shutdownNow();
-      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+      group
+          .shutdownGracefully(0, NETWORK_END_MILLIS, TimeUnit.MILLISECONDS)
+          .awaitUninterruptibly(NETWORK_END_MILLIS);
     }
   }
 }
