Tell a slow target from a silent one

Ruled out: connections that broke off (the lines say silence), and the target's own 504, which counts as an answer. Change: silence counts only if the target answered nobody since the request was handed over. Tests: TargetHealthTests, both ways."

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetHealth.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetHealth.java
@@ -27,6 +27,8 @@
   private double failureShare;
   private boolean failing;
   private long nextTrialNanos;
+  private boolean answered;
+  private long lastAnswerNanos;
 
   /** Creates a health without any failure. */
   public TargetHealth() {}
@@ -35,6 +37,7 @@
   public synchronized void reset() {
     failureShare = 0;
     failing = false;
+    answered = false;
   }
 
   /**
@@ -65,6 +68,10 @@
    */
   public synchronized boolean onEnd(boolean failed, long nowNanos) {
     boolean before = failing;
+    if (!failed) {
+      answered = true;
+      lastAnswerNanos = nowNanos;
+    }
     failureShare += WEIGHT * ((failed ? 1 : 0) - failureShare);
     if (!failing && failureShare > MAX_FAILURE_SHARE) {
       failing = true;
@@ -75,6 +82,21 @@
     return before != failing;
   }
 
+  /**
+   * Takes in that the target gave no answer before a request's deadline.
+   *
+   * <p>Answers a target that is slow after its start or in a burst: one that answered others while
+   * the request waited is slow, not silent, and failing it would take its slots from the callers.
+   *
+   * @param startNanos when the request was handed over
+   * @param nowNanos the current time
+   * @return whether the target has just begun to count as failing
+   */
+  public synchronized boolean onNoAnswer(long startNanos, long nowNanos) {
+    boolean answeredOthers = answered && lastAnswerNanos - startNanos > 0;
+    return !answeredOthers && onEnd(true, nowNanos);
+  }
+
   /**
    * Takes in that the target accepted no connection.
    *
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetHealthTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetHealthTests.java
@@ -27,6 +27,27 @@
     assertTrue(health.mayTry(false, 0));
   }
 
+  @Test
+  void aTargetThatAnswersOthersMeanwhileIsSlowAndNotSilent() {
+    for (int i = 0; i < 20; i++) {
+      health.onEnd(false, i * SECOND + SECOND / 2);
+      health.onNoAnswer(i * SECOND, (i + 1) * SECOND);
+      health.onNoAnswer(i * SECOND, (i + 1) * SECOND);
+    }
+
+    assertTrue(health.mayTry(false, 20 * SECOND));
+  }
+
+  @Test
+  void aTargetThatAnswersNobodyIsTriedOnlyNowAndThen() {
+    health.onEnd(false, 0);
+    for (int i = 1; i < 10; i++) {
+      health.onNoAnswer(i * SECOND, (i + 1) * SECOND);
+    }
+
+    assertFalse(health.mayTry(false, 10 * SECOND));
+  }
+
   @Nested
   class WhenMostRequestsFailed {
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
@@ -28,6 +28,9 @@
   @Override
   public void onEnd(boolean failed, long nowNanos) {}
 
+  @Override
+  public void onNoAnswer(long startNanos, long nowNanos) {}
+
   @Override
   public void onRefused(long nowNanos) {}
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -60,6 +60,13 @@
     }
   }
 
+  @Override
+  public void onNoAnswer(long startNanos, long nowNanos) {
+    if (health.onNoAnswer(startNanos, nowNanos)) {
+      tellHealth("silence");
+    }
+  }
+
   @Override
   public void onRefused(long nowNanos) {
     if (health.onRefused(nowNanos)) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -56,6 +56,8 @@
     REPLACED,
     /** Without a whole answer. */
     BROKEN,
+    /** Without any answer before the deadline. */
+    SILENT,
     /** By the entry side or its deadline. */
     CANCELLED
   }
@@ -109,17 +111,18 @@
       ClassicHttpResponse response = receiveHead(request);
       return toOutcome(request, response);
     } catch (SocketTimeoutException e) {
-      return broken(ResultCode.DEADLINE_AFTER_START, "the target did not answer in time");
+      return broken(
+          Kind.SILENT, ResultCode.DEADLINE_AFTER_START, "the target did not answer in time");
     } catch (IOException | HttpException | RuntimeException e) {
       // The request was committed, so whatever went wrong, it may have run, and its slot is given
       // back.
-      return broken(ResultCode.TARGET_BROKE_OFF, String.valueOf(e.getMessage()));
+      return broken(Kind.BROKEN, ResultCode.TARGET_BROKE_OFF, String.valueOf(e.getMessage()));
     }
   }
 
-  private Outcome<CallResponse> broken(ResultCode code, String detail) {
+  private Outcome<CallResponse> broken(Kind kind, ResultCode code, String detail) {
     boolean cancelled = call.cancelled();
-    finish(false, cancelled ? Kind.CANCELLED : Kind.BROKEN);
+    finish(false, cancelled ? Kind.CANCELLED : kind);
     return new Outcome.Unknown<>(cancelled ? ResultCode.DEADLINE_AFTER_START : code, detail);
   }
 
@@ -201,9 +204,12 @@
       case TargetDialect.Judgement.Answer answer -> answer(request, own);
       case TargetDialect.Judgement.NotRun notRun -> refused(request, own, notRun.code());
       case TargetDialect.Judgement.Unusable unusable ->
-          broken(ResultCode.TARGET_BROKE_OFF, "the target's answer may not reach the caller");
+          broken(
+              Kind.BROKEN,
+              ResultCode.TARGET_BROKE_OFF,
+              "the target's answer may not reach the caller");
       case TargetDialect.Judgement.Foreign foreign ->
-          broken(ResultCode.ANSWER_FOREIGN, "the answer belongs to another request");
+          broken(Kind.BROKEN, ResultCode.ANSWER_FOREIGN, "the answer belongs to another request");
     };
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
@@ -48,6 +48,14 @@
    */
   void onEnd(boolean failed, long nowNanos);
 
+  /**
+   * Takes in that the target gave no answer before a request's deadline.
+   *
+   * @param startNanos when the request was handed over
+   * @param nowNanos the current time
+   */
+  void onNoAnswer(long startNanos, long nowNanos);
+
   /**
    * Takes in that the target accepted no connection.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -273,6 +273,7 @@
     switch (end.kind()) {
       case ANSWERED, REFUSED -> gate.onEnd(false, now);
       case BROKEN -> gate.onEnd(true, now);
+      case SILENT -> gate.onNoAnswer(startNanos, now);
       case REPLACED -> target.run().ifPresent(gate::onReplaced);
       case CANCELLED -> {}
     }
