--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -130,7 +130,8 @@
     this.duty = new AtomicReference<>(new HomeDuty(homeMember()));
     this.targetSide = createTargetSide();
     this.views = new EntryViews(settings.zone(), EntryViews.Policies.standard(), time);
-    this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
+    this.links =
+        new PeerLinks(identity, group, executor, views::onLoad, metrics, time, node -> false);
     NodeQueries queries =
         new NodeQueries(settings, identity, holder, duty, targetSide, views, time);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -191,8 +191,7 @@
     return outcome instanceof Outcome.NotRun<CallResponse> notRun
         ? switch (notRun.code()) {
           case TOO_LATE_HERE -> Placement.Reply.LATER;
-          case OVERLOADED, TARGET_FAILING -> Placement.Reply.BUSY;
-          default -> Placement.Reply.TAKEN;
+          default -> Placement.Reply.BUSY;
         }
         : Placement.Reply.TAKEN;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -32,6 +32,7 @@
 import org.amaranthmoor.daemon.target.TargetProbe;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.GossipTimings;
@@ -153,7 +154,8 @@
             settings.zone(),
             new EntryViews.Policies(spec -> new PickPolicy.ZoneFirst(DRAWN), this::retryBurst),
             time);
-    this.links = new PeerLinks(identity, group, executor, views::onLoad, metrics, time);
+    this.links =
+        new PeerLinks(identity, group, executor, views::onLoad, metrics, time, this::isFar);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
     EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
     this.callerHandler = new CallerHandler(views, entrySide, callerDialect, targetSide::runs, time);
@@ -242,6 +244,13 @@
         0);
   }
 
+  private boolean isFar(NodeName node) {
+    return membership
+        .member(node)
+        .map(member -> !member.zone().equals(settings.zone()))
+        .orElse(false);
+  }
+
   private int retryBurst() {
     int nodes = Math.max(LEAST_NODES, membership.members().size());
     return (int) Math.max(1, settings.retrySlack() * SPENT_SLACK_SHARE / nodes);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/FrameChannels.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/FrameChannels.java
@@ -19,9 +19,17 @@
 
   private static final int LENGTH_BYTES = 4;
 
+  private final Supplier<ChannelHandler> compression;
   private final Supplier<ChannelHandler> handler;
 
-  FrameChannels(Supplier<ChannelHandler> handler) {
+  /**
+   * Creates an initializer.
+   *
+   * @param compression creates what sets compression up and then removes itself
+   * @param handler creates what takes the frames
+   */
+  FrameChannels(Supplier<ChannelHandler> compression, Supplier<ChannelHandler> handler) {
+    this.compression = compression;
     this.handler = handler;
   }
 
@@ -29,6 +37,7 @@
   protected void initChannel(Channel channel) {
     channel
         .pipeline()
+        .addLast(compression.get())
         .addLast(
             new LengthFieldBasedFrameDecoder(
                 Frames.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -13,11 +15,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.Exchange;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.LoadReport;
+import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
@@ -65,6 +69,7 @@
   private final LoadListener loadListener;
   private final NodeMetrics metrics;
   private final TimeSource time;
+  private final Predicate<NodeName> isFar;
   private final Map<PeerAddress, PeerLink> links = new ConcurrentHashMap<>();
   private final Map<PeerAddress, ReentrantLock> locks = new ConcurrentHashMap<>();
   private final Map<PeerAddress, Long> unreachableUntil = new ConcurrentHashMap<>();
@@ -80,6 +85,7 @@
    * @param loadListener takes in load reports
    * @param metrics counts what links see
    * @param time the time
+   * @param isFar whether a node is in another availability zone, so that its link is compressed
    */
   public PeerLinks(
       NodeIdentity identity,
@@ -87,13 +93,15 @@
       ExecutorService executor,
       LoadListener loadListener,
       NodeMetrics metrics,
-      TimeSource time) {
+      TimeSource time,
+      Predicate<NodeName> isFar) {
     this.identity = identity;
     this.group = group;
     this.executor = executor;
     this.loadListener = loadListener;
     this.metrics = metrics;
     this.time = time;
+    this.isFar = isFar;
   }
 
   /**
@@ -202,7 +210,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new FrameChannels(() -> link))
+            .handler(new FrameChannels(() -> compression(address), () -> link))
             .connect(address.host(), address.port());
     try {
       connected.await(CONNECT_TIMEOUT_MILLIS);
@@ -216,6 +224,12 @@
     return Optional.of(link);
   }
 
+  private ChannelHandler compression(PeerAddress address) {
+    return isFar.test(address.node())
+        ? new LinkCompression.Announce()
+        : new ChannelInboundHandlerAdapter();
+  }
+
   /**
    * Asks quiet links for a sign of life and closes silent ones. Called several times a second.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -83,7 +83,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new FrameChannels(Connection::new))
+            .childHandler(new FrameChannels(LinkCompression.Detect::new, Connection::new))
             .bind(host, port)
             .syncUninterruptibly()
             .channel();
--- /dev/null
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
@@ -0,0 +1,91 @@
+package org.amaranthmoor.daemon.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.Header;
+import org.amaranthmoor.protocol.node.OpenCall;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LinkCompressionTests {
+
+  private static final int CALLS = 50;
+
+  private final List<Frame> received = new ArrayList<>();
+
+  private static Frame call(int number) {
+    OpenCall.Builder open =
+        OpenCall.newBuilder()
+            .setStream(number)
+            .setService("lending")
+            .setMethod("GET")
+            .setPath("/pages/" + number)
+            .setCallId(Integer.toHexString(number * 7_919))
+            .setRule("r-pages");
+    for (String name : List.of("Host", "X-Request-Id", "Accept", "User-Agent", "X-Caller")) {
+      open.addHeaders(Header.newBuilder().setName(name).setValue("value of " + name));
+    }
+    return Frame.newBuilder().setOpenCall(open).build();
+  }
+
+  // Carries what a node sends to the one it has connected to; returns how many bytes that were.
+  private int carry(ChannelHandler compression) {
+    EmbeddedChannel entry =
+        new EmbeddedChannel(
+            new FrameChannels(() -> compression, ChannelInboundHandlerAdapter::new));
+    EmbeddedChannel target =
+        new EmbeddedChannel(
+            new FrameChannels(LinkCompression.Detect::new, ChannelInboundHandlerAdapter::new));
+    int bytes = 0;
+    for (int i = 0; i < CALLS; i++) {
+      entry.writeOutbound(call(i));
+      ByteBuf piece = entry.readOutbound();
+      while (piece != null) {
+        bytes += piece.readableBytes();
+        target.writeInbound(piece);
+        piece = entry.readOutbound();
+      }
+    }
+    Frame frame = target.readInbound();
+    while (frame != null) {
+      received.add(frame);
+      frame = target.readInbound();
+    }
+    entry.finishAndReleaseAll();
+    target.finishAndReleaseAll();
+    return bytes;
+  }
+
+  private static List<Frame> calls() {
+    List<Frame> frames = new ArrayList<>();
+    for (int i = 0; i < CALLS; i++) {
+      frames.add(call(i));
+    }
+    return frames;
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void framesArriveAsTheyWereSent(boolean compressed) {
+    carry(compressed ? new LinkCompression.Announce() : new ChannelInboundHandlerAdapter());
+
+    assertEquals(calls(), received);
+  }
+
+  @Test
+  void framesThatResembleEachOtherTakeAThirdOfTheBytesOrLess() {
+    int plain = carry(new ChannelInboundHandlerAdapter());
+    int compressed = carry(new LinkCompression.Announce());
+
+    assertTrue(compressed * 3 <= plain, compressed + " bytes instead of " + plain);
+  }
+}
