Log changes of the members, and keep lines of failures apart from the others

Cause: a change of members left no line, the first contact with the configuration's feed was logged as a loss regained, and under load the lines of requests that ended well used up the limit of those that did not. Tests: MemberChangesTests, EventLogTests.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.amaranthmoor.balance.Ejection;
 import org.amaranthmoor.balance.Placement;
 import org.amaranthmoor.balance.Server;
@@ -114,8 +115,7 @@
     Served served = tryServers(request, caller, service.get());
     long nanos = time.nanos() - startNanos;
     count(service.get(), served.outcome(), nanos);
-    log.decision(
-        "call",
+    Supplier<String> line =
         () ->
             "id="
                 + request.id()
@@ -134,10 +134,19 @@
                 + " end="
                 + describe(served.outcome())
                 + " asked="
-                + served.asked());
+                + served.asked();
+    if (endsWell(served.outcome())) {
+      log.decision("call", line);
+    } else {
+      log.failure("call", line);
+    }
     return served;
   }
 
+  private static boolean endsWell(Outcome<CallResponse> outcome) {
+    return outcome instanceof Outcome.Answered<CallResponse> && !isFailure(outcome);
+  }
+
   private static String describe(Outcome<CallResponse> outcome) {
     return switch (outcome) {
       case Outcome.Answered<CallResponse> answered ->
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
@@ -30,6 +30,8 @@
   /** Lines of one kind of decision on requests that may come at once. */
   private static final int DECISION_BURST = 200;
 
+  private static final String FAILURES = " failures";
+
   private final Logger logger;
   private final TimeSource time;
   private final Map<String, Budget> budgets = new ConcurrentHashMap<>();
@@ -68,26 +70,44 @@
   }
 
   /**
-   * Writes a decision on one request.
+   * Writes a decision on one request that ended well.
    *
    * @param event the decision's name
    * @param details key=value pairs
    */
   public void decision(String event, Supplier<String> details) {
-    write(Level.INFO, event, DECISIONS_PER_SECOND, DECISION_BURST, details);
+    write(Level.INFO, event, event, DECISIONS_PER_SECOND, DECISION_BURST, details);
+  }
+
+  /**
+   * Writes a decision on one request that did not end well. These lines have a limit of their own,
+   * so that those of requests that end well never take their place.
+   *
+   * @param event the decision's name
+   * @param details key=value pairs
+   */
+  public void failure(String event, Supplier<String> details) {
+    String budget = event + FAILURES;
+    write(Level.INFO, event, budget, DECISIONS_PER_SECOND, DECISION_BURST, details);
   }
 
   private void write(Level level, String event, Supplier<String> details) {
-    write(level, event, LINES_PER_SECOND, BURST, details);
+    write(level, event, event, LINES_PER_SECOND, BURST, details);
   }
 
-  private void write(Level level, String event, double rate, int burst, Supplier<String> details) {
+  private void write(
+      Level level,
+      String event,
+      String budgetName,
+      double rate,
+      int burst,
+      Supplier<String> details) {
     if (!logger.isLoggable(level)) {
       return;
     }
     Budget budget =
         budgets.computeIfAbsent(
-            event,
+            budgetName,
             name -> new Budget(new TokenBucket(rate, burst, time.nanos()), new AtomicLong()));
     if (!budget.lines().tryTake(time.nanos())) {
       budget.leftOut().incrementAndGet();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
@@ -98,9 +98,11 @@
   private void setAvailable(boolean now, String detail) {
     if (available != now) {
       available = now;
-      log.warn(
-          now ? "config-feed-regained" : "config-feed-lost",
-          () -> "detail=" + EventLog.quote(detail));
+      if (now) {
+        log.info("config-feed-reached", () -> "position=" + position);
+      } else {
+        log.warn("config-feed-lost", () -> "detail=" + EventLog.quote(detail));
+      }
     }
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -37,6 +38,7 @@
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.GossipTimings;
 import org.amaranthmoor.node.Member;
+import org.amaranthmoor.node.MemberChanges;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.ExchangeLedger;
@@ -116,6 +118,7 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
   private long shownViewHash;
+  private final MemberChanges memberChanges = new MemberChanges();
   private long nextFindNanos;
 
   /**
@@ -379,11 +382,19 @@
     long viewHash = membership.viewHash();
     if (viewHash != shownViewHash) {
       shownViewHash = viewHash;
+      logMembers();
       rebuildViews();
       links.closeGone(membership);
     }
   }
 
+  private void logMembers() {
+    List<String> changes = memberChanges.update(membership.members());
+    if (!changes.isEmpty()) {
+      log.info("members-changed", () -> "changes=" + String.join(",", changes));
+    }
+  }
+
   // A clock that was set back, or a start within one millisecond, gives an incarnation that others
   // take for an old one.
   private void renewIfOvertaken() {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -228,7 +228,7 @@
   }
 
   private Outcome<CallResponse> refuse(CallRequest request, ResultCode code, long retryMillis) {
-    log.decision(
+    log.failure(
         "target-refusal",
         () ->
             "id="
