Keep slots for work in time only where such work exists

Change: a request with patience is never taken beyond its objective; only work that a free slot would serve in time makes a target crowded. Tests: lateWorkGetsAFreeSlotWhereNothingCanBeInTime failed first; lateWorkGetsNoSlotWhileWorkThatCouldBeInTimeFindsNone.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -227,7 +227,9 @@
       return refuse(ResultCode.OVERLOADED, nowNanos);
     }
     if (waiter.patiencePercent() > 0 && endNanos > arrived.latestEndNanos()) {
-      noteCrowded(!free, nowNanos);
+      if (!free) {
+        noteCrowded(arrived, nowNanos);
+      }
       return refuse(tooLate(waiter, endNanos), nowNanos);
     }
     boolean late = endNanos > waiter.objectiveNanos() && !waiter.needed();
@@ -253,7 +255,9 @@
     double latestEndNanos =
         waiter.patiencePercent() == 0
             ? (double) waiter.deadlineNanos()
-            : nowNanos + workNanos + slackNanos * waiter.patiencePercent() / PERCENT;
+            : Math.min(
+                (double) waiter.objectiveNanos(),
+                nowNanos + workNanos + slackNanos * waiter.patiencePercent() / PERCENT);
     return new Queued(waiter, ++arrivals, guessNanos, latestEndNanos);
   }
 
@@ -262,8 +266,10 @@
     return endNanos > waiter.objectiveNanos() ? ResultCode.OVERLOADED : ResultCode.TOO_LATE_HERE;
   }
 
-  private void noteCrowded(boolean noSlot, long nowNanos) {
-    if (noSlot) {
+  // Of work that would be late on an idle target too, as after a cold start, no slot is kept free.
+  private void noteCrowded(Queued withoutSlot, long nowNanos) {
+    double endNanos = nowNanos + expectedNanos(withoutSlot, nowNanos);
+    if (endNanos <= withoutSlot.waiter().objectiveNanos()) {
       crowded = true;
       crowdedNanos = nowNanos;
     }
@@ -425,7 +431,9 @@
       if (waiter.deadlineNanos() <= nowNanos) {
         code = Optional.of(ResultCode.DEADLINE_BEFORE_START);
       } else if (waiter.patiencePercent() > 0 && endNanos > queued.latestEndNanos()) {
-        noteCrowded(!hasSlot(queued), nowNanos);
+        if (!hasSlot(queued)) {
+          noteCrowded(queued, nowNanos);
+        }
         code = Optional.of(tooLate(waiter, endNanos));
       }
       if (code.isPresent()) {
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -285,6 +285,34 @@
       }
     }
 
+    @Test
+    void lateWorkGetsAFreeSlotWhereNothingCanBeInTime() {
+      learn(PAGES, 700);
+      for (int i = 0; i < 4; i++) {
+        admission.offer(new Request(PAGES, Priority.BROWSE, 0, 500 * MILLI, 0), 0);
+      }
+      admission.offer(Request.page(0), 0);
+
+      Request late = new Request(PAGES, Priority.BROWSE, 0, 500 * MILLI, 0);
+
+      assertEquals(new Decision.Admitted(), admission.offer(late, 0));
+    }
+
+    @Test
+    void lateWorkGetsNoSlotWhileWorkThatCouldBeInTimeFindsNone() {
+      learn(PAGES, 160);
+      for (int i = 0; i < 5; i++) {
+        admission.offer(Request.page(0), 0);
+      }
+      admission.offer(new Request(PAGES, Priority.BROWSE, 0, 200 * MILLI, 30), 0);
+      Request first = new Request(PAGES, Priority.BROWSE, 100 * MILLI, 50 * MILLI, 0);
+
+      Decision.Refused refused =
+          assertInstanceOf(Decision.Refused.class, admission.offer(first, 100 * MILLI));
+
+      assertEquals(ResultCode.OVERLOADED, refused.code());
+    }
+
     @Test
     void aRequestThatIsLateAlreadyDoesNotWaitForOthers() {
       learn(PAGES, 160);
