Keep targets in use that lose a part of their answers

Ruled out: silence (exchanges ended BROKEN after 0 to 8 ms); a crash (other exchanges were answered). Change: only 12 losses in a row, or four silences, make a target count as failing.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetHealth.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetHealth.java
@@ -3,20 +3,21 @@
 /**
  * Judges by its answers whether the target beside this node can be used.
  *
- * <p>Answers a target that fails part of its requests while its health check is good, one that
- * hangs, and one that has crashed: once most of the last requests failed, only one request at a
- * time tries it, now and then, until some succeed. Safe for use by several threads.
+ * <p>Answers a target that hangs, and one that has crashed: once none of the last requests was
+ * answered, only one request at a time tries it, now and then, until some are. A target that fails
+ * only a part of its requests stays in use, because in a burst the rest is worth more than none;
+ * the entry sides prefer others. Safe for use by several threads.
  */
 public final class TargetHealth {
 
-  /** Weight of a new sample in the share of failures; about the last ten samples count. */
-  private static final double WEIGHT = 0.15;
+  /** Failures in a row from which the target is tried only now and then. */
+  private static final int MAX_FAILURES = 12;
 
-  /** Share of failures beyond which the target is tried only now and then. */
-  private static final double MAX_FAILURE_SHARE = 0.5;
+  /** Failures that one silence until a deadline counts for, as each takes a slot for long. */
+  private static final int SILENCE = 3;
 
-  /** Share of failures below which the target is used again. */
-  private static final double RECOVERED_SHARE = 0.3;
+  /** Failures in a row below which the target is used again; each success halves their number. */
+  private static final int RECOVERED_FAILURES = 4;
 
   /** Time between two tries of a target that fails, in nanoseconds. */
   private static final long TRIAL_NANOS = 400_000_000L;
@@ -24,7 +25,7 @@
   /** Time for which a target that accepts no connection is not tried, in nanoseconds. */
   private static final long REFUSED_NANOS = 200_000_000L;
 
-  private double failureShare;
+  private int failures;
   private boolean failing;
   private long nextTrialNanos;
   private boolean answered;
@@ -35,7 +36,7 @@
 
   /** Forgets everything, as for a new run of the target. */
   public synchronized void reset() {
-    failureShare = 0;
+    failures = 0;
     failing = false;
     answered = false;
   }
@@ -67,19 +68,25 @@
    * @return whether the target has just begun or ceased to count as failing
    */
   public synchronized boolean onEnd(boolean failed, long nowNanos) {
-    boolean before = failing;
-    if (!failed) {
-      answered = true;
-      lastAnswerNanos = nowNanos;
+    if (failed) {
+      return onFailures(1, nowNanos);
     }
-    failureShare += WEIGHT * ((failed ? 1 : 0) - failureShare);
-    if (!failing && failureShare > MAX_FAILURE_SHARE) {
+    answered = true;
+    lastAnswerNanos = nowNanos;
+    failures = failing ? failures / 2 : 0;
+    boolean recovered = failing && failures < RECOVERED_FAILURES;
+    failing = failing && !recovered;
+    return recovered;
+  }
+
+  private boolean onFailures(int count, long nowNanos) {
+    boolean before = failing;
+    failures = Math.min(MAX_FAILURES, failures + count);
+    if (!failing && failures >= MAX_FAILURES) {
       failing = true;
       nextTrialNanos = nowNanos + TRIAL_NANOS;
-    } else if (failing && failureShare < RECOVERED_SHARE) {
-      failing = false;
     }
-    return before != failing;
+    return failing != before;
   }
 
   /**
@@ -94,7 +101,7 @@
    */
   public synchronized boolean onNoAnswer(long startNanos, long nowNanos) {
     boolean answeredOthers = answered && lastAnswerNanos - startNanos > 0;
-    return !answeredOthers && onEnd(true, nowNanos);
+    return !answeredOthers && onFailures(SILENCE, nowNanos);
   }
 
   /**
@@ -106,7 +113,7 @@
   public synchronized boolean onRefused(long nowNanos) {
     boolean before = failing;
     failing = true;
-    failureShare = Math.max(failureShare, MAX_FAILURE_SHARE);
+    failures = MAX_FAILURES;
     nextTrialNanos = nowNanos + REFUSED_NANOS;
     return !before;
   }
