--- a/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/Main.java
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/Main.java
@@ -61,7 +61,8 @@
     builder
         .withGroup("report")
         .withDescription("Reports for operators")
-        .withCommand(BurnCommand.class);
+        .withCommand(BurnCommand.class)
+        .withCommand(StoryCommand.class);
     return builder.build();
   }
 
--- /dev/null
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/report/LogStory.java
@@ -0,0 +1,73 @@
+package org.amaranthmoor.report;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Gathers the lines of one subject from the logs of several nodes.
+ *
+ * <p>Keeps only what belongs to the story, so that logs of any size can be read. Not safe for use
+ * by several threads.
+ */
+public final class LogStory {
+
+  /** Lines that could not be read and are named; further ones are only counted. */
+  private static final int NAMED_PROBLEMS = 5;
+
+  private final LogSubject subject;
+  private final List<LogLine> lines = new ArrayList<>();
+  private final List<String> problems = new ArrayList<>();
+  private long unreadable;
+
+  /**
+   * Creates an empty story.
+   *
+   * @param subject what it is about
+   */
+  public LogStory(LogSubject subject) {
+    this.subject = subject;
+  }
+
+  /**
+   * Reads one line.
+   *
+   * @param file where it is from
+   * @param number its number there, from 1
+   * @param text the line
+   */
+  public void read(String file, long number, String text) {
+    LogLine.parse(file, text)
+        .ifPresentOrElse(
+            line -> {
+              if (subject.concerns(line)) {
+                lines.add(line);
+              }
+            },
+            () -> onUnreadable(file, number, text));
+  }
+
+  private void onUnreadable(String file, long number, String text) {
+    if (text.isBlank()) {
+      return;
+    }
+    unreadable++;
+    if (unreadable <= NAMED_PROBLEMS) {
+      problems.add(file + ":" + number + ": not a line of a node's log");
+    }
+  }
+
+  /** {@return the lines in the order of their times; lines of one moment as they were read} */
+  public List<LogLine> lines() {
+    return lines.stream().sorted(Comparator.comparing(LogLine::time)).toList();
+  }
+
+  /** {@return what could not be read, the first ones by file and line, and how many there were} */
+  public List<String> problems() {
+    List<String> all = new ArrayList<>(problems);
+    if (unreadable > NAMED_PROBLEMS) {
+      all.add(unreadable + " lines could not be read");
+    }
+    return all;
+  }
+}
