--- a/amaranthmoor-cli/src/test/java/org/amaranthmoor/cli/OutputTests.java
+++ b/amaranthmoor-cli/src/test/java/org/amaranthmoor/cli/OutputTests.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -183,4 +184,39 @@
 
     verify(new BurnReport(List.of(BurnReport.of(spec, windows))).render());
   }
+
+  // Lines of a played day: seconds since its start and the machine stand before each line.
+  private static String playedDay() throws URISyntaxException {
+    return Path.of(OutputTests.class.getResource("/played-day.log").toURI()).toString();
+  }
+
+  @Test
+  void theStoryOfARequestRefusedUnderLoadNamesTheFullTargets() throws URISyntaxException {
+    verify(run("report", "story", "--request", "0a29cbb2d20d28ed", playedDay()));
+  }
+
+  @Test
+  void theStoryOfALostAnswerNamesTheTargetThatBrokeOff() throws URISyntaxException {
+    verify(run("report", "story", "--request", "334bae1d505af9b2", playedDay()));
+  }
+
+  @Test
+  void theStoryOfARequestForALeavingTargetShowsWhatItWaitedFor() throws URISyntaxException {
+    verify(run("report", "story", "--request", "5d4c2405a64ac88a", playedDay()));
+  }
+
+  @Test
+  void theStoryOfATargetShowsItsLeaving() throws URISyntaxException {
+    verify(run("report", "story", "--run", "i-d5b14f4245", playedDay()));
+  }
+
+  @Test
+  void aStoryOfNothingIsAFailureAndUnreadableLinesAreNamed() throws IOException {
+    verify(run("report", "story", "--request", "none", file("n1.log", "[0.1s][error] text")));
+  }
+
+  @Test
+  void aStoryHasOneSubject() throws IOException {
+    verify(run("report", "story", "--request", "a", "--config", "1", file("n1.log")));
+  }
 }
