--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
@@ -31,7 +31,7 @@
             .setPath("/pages/" + number)
             .setCallId(Integer.toHexString(number * 7_919))
             .setRule("r-pages");
-    for (String name : List.of("Host", "X-Request-Id", "Accept", "User-Agent", "X-Caller")) {
+    for (String name : List.of("Host", "Accept-Language", "Accept", "User-Agent", "Referer")) {
       open.addHeaders(Header.newBuilder().setName(name).setValue("value of " + name));
     }
     return Frame.newBuilder().setOpenCall(open).build();
