--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -31,6 +31,7 @@
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
 import org.amaranthmoor.daemon.operator.AdminHandler;
+import org.amaranthmoor.daemon.operator.NodeGauges;
 import org.amaranthmoor.daemon.operator.StatusCollector;
 import org.amaranthmoor.daemon.operator.StatusView;
 import org.amaranthmoor.daemon.platform.Announcer;
@@ -157,7 +158,8 @@
     this.statusCollector =
         new StatusCollector(settings.node(), holder, membership, links, queries, executor);
     holder.addListener(this::onState);
-    addGauges();
+    NodeGauges.add(
+        metrics, targetSide, membership, follower::available, () -> holder.current().offset(), log);
     this.peerServer =
         new PeerServer(
             settings.host(),
@@ -203,6 +205,7 @@
         new FixedTarget(target.address()),
         new OwnTargetDialect(),
         connections,
+        metrics,
         time,
         log);
   }
@@ -228,29 +231,6 @@
     return new Homes.Member(settings.node(), identity.incarnation());
   }
 
-  private void addGauges() {
-    metrics.gauge(
-        "amaranthmoor.config.offset",
-        "Offset of the state in force",
-        () -> holder.current().offset());
-    metrics.gauge(
-        "amaranthmoor.target.in.flight",
-        "Requests at the target",
-        () -> targetSide.load().inFlight());
-    metrics.gauge(
-        "amaranthmoor.target.queued",
-        "Requests waiting for the target",
-        () -> targetSide.load().queued());
-    metrics.gauge(
-        "amaranthmoor.members.reachable",
-        "Members believed alive",
-        () -> membership.members().stream().filter(Member::reachable).count());
-    metrics.gauge(
-        "amaranthmoor.log.available",
-        "1 if the platform's log answers",
-        () -> follower.available() ? 1 : 0);
-  }
-
   /** Lets the node take part. */
   public void start() {
     follower.start();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -182,7 +182,9 @@
       if (!retries(request, service, placement, reached, attempt, outcome)) {
         return served;
       }
-      metrics.retry();
+      if (mayHaveReached(outcome)) {
+        metrics.retry();
+      }
     }
     return served;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.model.TokenBucket;
@@ -35,6 +36,7 @@
   private final Logger logger;
   private final TimeSource time;
   private final Map<String, Budget> budgets = new ConcurrentHashMap<>();
+  private final LongAdder allLeftOut = new LongAdder();
 
   private record Budget(TokenBucket lines, AtomicLong leftOut) {}
 
@@ -91,6 +93,11 @@
     write(Level.INFO, event, budget, DECISIONS_PER_SECOND, DECISION_BURST, details);
   }
 
+  /** {@return the number of lines that were left out so far} */
+  public long leftOut() {
+    return allLeftOut.sum();
+  }
+
   private void write(Level level, String event, Supplier<String> details) {
     write(level, event, event, LINES_PER_SECOND, BURST, details);
   }
@@ -111,6 +118,7 @@
             name -> new Budget(new TokenBucket(rate, burst, time.nanos()), new AtomicLong()));
     if (!budget.lines().tryTake(time.nanos())) {
       budget.leftOut().incrementAndGet();
+      allLeftOut.increment();
       return;
     }
     long leftOut = budget.leftOut().getAndSet(0);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -26,6 +26,7 @@
 import org.amaranthmoor.daemon.node.NodeIdentity;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
+import org.amaranthmoor.daemon.operator.NodeGauges;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.daemon.target.RegisteredTarget;
 import org.amaranthmoor.daemon.target.TargetConnections;
@@ -199,6 +200,7 @@
             metrics,
             time);
     this.nextFindNanos = time.nanos();
+    NodeGauges.add(metrics, targetSide, membership, follower::available, config::version, log);
     this.callerListener = new HttpListener(settings.callers().socketAddress(), callerHandler);
   }
 
@@ -217,6 +219,7 @@
         new RegisteredTarget(life, health, log),
         dialect,
         connections,
+        metrics,
         time,
         log);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.amaranthmoor.daemon.metrics;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -8,7 +9,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
 
 /**
@@ -43,7 +46,15 @@
           .baseUnit("bytes")
           .register(registry);
   private final Counter retries =
-      Counter.builder("amaranthmoor.retries").description("Repeated attempts").register(registry);
+      Counter.builder("amaranthmoor.retries")
+          .description("Attempts after one that may have reached a target")
+          .register(registry);
+  private final Timer waits =
+      Timer.builder("amaranthmoor.target.wait")
+          .description("Time that requests waited for a slot of the target")
+          .serviceLevelObjectives(LATENCY_BUCKETS)
+          .register(registry);
+  private final Map<ResultCode, Counter> refusals = new ConcurrentHashMap<>();
   private final Map<OutcomeKey, Counter> outcomes = new ConcurrentHashMap<>();
   private final Map<ServiceName, Timer> latencies = new ConcurrentHashMap<>();
 
@@ -82,6 +93,31 @@
         .register(registry);
   }
 
+  /**
+   * Counts a request that this target side did not take.
+   *
+   * @param code why
+   */
+  public void targetRefusal(ResultCode code) {
+    refusals.computeIfAbsent(code, this::refusal).increment();
+  }
+
+  private Counter refusal(ResultCode code) {
+    return Counter.builder("amaranthmoor.target.refusals")
+        .description("Requests that this target side did not take")
+        .tag("code", Integer.toString(code.number()))
+        .register(registry);
+  }
+
+  /**
+   * Takes in how long a request waited for a slot of the target.
+   *
+   * @param nanos the wait, whether it got one or not
+   */
+  public void targetWait(long nanos) {
+    waits.record(Duration.ofNanos(nanos));
+  }
+
   /** Counts a frame that belonged to no request. */
   public void lateFrame() {
     lateFrames.increment();
@@ -117,6 +153,21 @@
     Gauge.builder(name, value).description(description).register(registry);
   }
 
+  /**
+   * Adds a number that only grows and is read when metrics are.
+   *
+   * @param name the metric's name
+   * @param description what it is
+   * @param value reads the number
+   * @param tags names and values of tags in turn
+   */
+  public void counter(String name, String description, LongSupplier value, String... tags) {
+    FunctionCounter.builder(name, value, LongSupplier::getAsLong)
+        .description(description)
+        .tags(tags)
+        .register(registry);
+  }
+
   /**
    * Renders all metrics in the text format of Prometheus.
    *
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
@@ -0,0 +1,56 @@
+package org.amaranthmoor.daemon.operator;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.node.Member;
+import org.amaranthmoor.node.Membership;
+
+/** Shows the state of a node among its metrics. Stateless and safe for use by several threads. */
+public final class NodeGauges {
+
+  private NodeGauges() {}
+
+  /**
+   * Adds the values that every node has.
+   *
+   * @param metrics where they are added
+   * @param targetSide the target side
+   * @param membership the members
+   * @param feedAvailable whether the source of the configuration answered last time
+   * @param configVersion version of the configuration in force, -1 before the first
+   * @param log the log of decisions
+   */
+  public static void add(
+      NodeMetrics metrics,
+      TargetSide targetSide,
+      Membership membership,
+      BooleanSupplier feedAvailable,
+      LongSupplier configVersion,
+      EventLog log) {
+    metrics.gauge(
+        "amaranthmoor.config.offset",
+        "Version of the configuration in force, -1 before the first",
+        configVersion::getAsLong);
+    metrics.gauge(
+        "amaranthmoor.target.in.flight",
+        "Requests at the target",
+        () -> targetSide.load().inFlight());
+    metrics.gauge(
+        "amaranthmoor.target.queued",
+        "Requests waiting for the target",
+        () -> targetSide.load().queued());
+    metrics.gauge(
+        "amaranthmoor.members.reachable",
+        "Members believed alive",
+        () -> membership.members().stream().filter(Member::reachable).count());
+    metrics.gauge(
+        "amaranthmoor.log.available",
+        "1 if the source of the configuration answers",
+        () -> feedAvailable.getAsBoolean() ? 1 : 0);
+    metrics.counter(
+        "amaranthmoor.log.lines.left.out", "Lines of the log left out by its limits", log::leftOut);
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -13,6 +13,7 @@
 import org.amaranthmoor.daemon.exchange.HeaderField;
 import org.amaranthmoor.daemon.exchange.WatchedBody;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.LoadReport;
@@ -41,6 +42,7 @@
   private final TargetGate gate;
   private final TargetDialect dialect;
   private final TargetConnections connections;
+  private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
   private final AtomicInteger running = new AtomicInteger();
@@ -55,6 +57,7 @@
    * @param gate knows the target
    * @param dialect how the target is spoken to
    * @param connections connections to the target
+   * @param metrics counts refusals and waits
    * @param time the time
    * @param log told of each decision
    */
@@ -65,6 +68,7 @@
       TargetGate gate,
       TargetDialect dialect,
       TargetConnections connections,
+      NodeMetrics metrics,
       TimeSource time,
       EventLog log) {
     this.admission = admission;
@@ -73,6 +77,7 @@
     this.gate = gate;
     this.dialect = dialect;
     this.connections = connections;
+    this.metrics = metrics;
     this.time = time;
     this.log = log;
   }
@@ -169,6 +174,7 @@
     Decision decision = admission.offer(waiter, now);
     if (decision instanceof Decision.Queued) {
       decision = awaitSlot(call, waiter);
+      metrics.targetWait(time.nanos() - now);
     }
     return switch (decision) {
       case Decision.Admitted admitted -> runWithSlot(call, waiter);
@@ -228,6 +234,7 @@
   }
 
   private Outcome<CallResponse> refuse(CallRequest request, ResultCode code, long retryMillis) {
+    metrics.targetRefusal(code);
     log.failure(
         "target-refusal",
         () ->
