Count the calls of repeats, start with nothing saved up, and keep a service's budget through changes

All its servers turned away 55 in 100 for 8.5 s, so that the budget was spent to its end, and calls made by repeated runs of the other service came on top: they count as repeats where they arrive, and nobody counted them. Ruled out: repeats beyond the share (the bucket's bound is 468 for these 2,112 requests and the saved-up part). Found on the way: a change of a service's specification, as each change of its weights, gave a full budget again; so did each restart of a node; and the saved-up part was divided by eight nodes until more were known, for good. Change: the node beside a target knows which attempt it runs, and the calls of a repeat draw from the budget of the service that they go to; budgets start empty, outlive changes, and their saved-up part follows the number of members. Tests: RetryPolicyTests (calls of repeats, restart, more nodes)."

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RetryBudget.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/RetryBudget.java
@@ -1,19 +1,21 @@
 package org.amaranthmoor.caller;
 
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
 
 /**
  * Limits retries to a share of first attempts.
  *
- * <p>Invariant: retries allowed so far are at most {@code share * first attempts + burst}. Safe for
- * use by several threads; lock-free.
+ * <p>Invariant: retries allowed so far, and calls that repeats of other services' requests made,
+ * are together at most {@code share * first attempts + burst}, as long as the latter alone are not
+ * more. Safe for use by several threads; lock-free.
  */
 public final class RetryBudget {
 
   private static final long MILLIS_PER_TOKEN = 1_000;
 
   private final long gainPerFirstAttempt;
-  private final long limit;
+  private final IntSupplier burst;
   // Thousandths of a retry that may still be made.
   private final AtomicLong balance;
 
@@ -24,18 +26,50 @@
    * @param burst most retries saved up, at least 1
    */
   public RetryBudget(double share, int burst) {
-    if (!(share >= 0) || burst < 1) {
+    this(share, () -> burst, burst);
+  }
+
+  private RetryBudget(double share, IntSupplier burst, int saved) {
+    if (!(share >= 0) || burst.getAsInt() < 1) {
       throw new IllegalArgumentException(
-          "share must be at least 0 and burst at least 1, but were: " + share + ", " + burst);
+          "share must be at least 0 and burst at least 1, but were: "
+              + share
+              + ", "
+              + burst.getAsInt());
     }
     this.gainPerFirstAttempt = Math.round(share * MILLIS_PER_TOKEN);
-    this.limit = burst * MILLIS_PER_TOKEN;
-    this.balance = new AtomicLong(limit);
+    this.burst = burst;
+    this.balance = new AtomicLong(saved * MILLIS_PER_TOKEN);
+  }
+
+  /**
+   * Creates a budget in which nothing is saved up, as for a node whose budget before a restart may
+   * have been spent a moment ago.
+   *
+   * @param share retries per first attempt, at least 0
+   * @param burst most retries saved up, at least 1; may change, as with the number of nodes that
+   *     share it
+   * @return the budget
+   */
+  public static RetryBudget empty(double share, IntSupplier burst) {
+    return new RetryBudget(share, burst, 0);
+  }
+
+  private long limit() {
+    return burst.getAsInt() * MILLIS_PER_TOKEN;
   }
 
   /** Counts a first attempt. */
   public void onFirstAttempt() {
-    balance.accumulateAndGet(gainPerFirstAttempt, (now, gain) -> Math.min(limit, now + gain));
+    balance.accumulateAndGet(gainPerFirstAttempt, (now, gain) -> Math.min(limit(), now + gain));
+  }
+
+  /**
+   * Counts a call that the repeat of another service's request has made. It cannot be refused for
+   * the budget, because the request that needs it runs already, but fewer retries are left.
+   */
+  public void onRepeatOfOthers() {
+    balance.accumulateAndGet(MILLIS_PER_TOKEN, (now, cost) -> Math.max(-limit(), now - cost));
   }
 
   /**
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/RetryPolicyTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/RetryPolicyTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.junit.jupiter.api.Test;
@@ -85,6 +86,44 @@
     assertFalse(RetryPolicy.retries(outcome(ResultCode.OVERLOADED), facts, budget()));
   }
 
+  @Test
+  void callsOfRepeatsLeaveFewerRetries() {
+    RetryBudget budget = new RetryBudget(0.2, 10);
+    int repeats = 0;
+    for (int i = 0; i < 10_000; i++) {
+      budget.onFirstAttempt();
+      if (i % 10 == 0) {
+        budget.onRepeatOfOthers();
+        repeats++;
+      }
+      repeats += budget.tryRetry() ? 1 : 0;
+    }
+
+    assertTrue(repeats <= 2_010, "repeats " + repeats);
+  }
+
+  @Test
+  void aNodeThatStartsAgainHasSavedUpNothing() {
+    RetryBudget budget = RetryBudget.empty(0.2, () -> 10);
+
+    assertFalse(budget.tryRetry());
+  }
+
+  @Test
+  void whatIsSavedUpShrinksAsMoreNodesShareIt() {
+    AtomicInteger burst = new AtomicInteger(20);
+    RetryBudget budget = RetryBudget.empty(1, burst::get);
+    for (int i = 0; i < 50; i++) {
+      budget.onFirstAttempt();
+    }
+    burst.set(2);
+    budget.onFirstAttempt();
+
+    assertTrue(budget.tryRetry());
+    assertTrue(budget.tryRetry());
+    assertFalse(budget.tryRetry());
+  }
+
   @Test
   void retriesAreAtMostTheShareOfFirstAttemptsAndTheBurst() {
     RetryBudget budget = new RetryBudget(0.1, 10);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -138,7 +138,8 @@
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
     EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
     this.callerHandler =
-        new CallerHandler(views, entrySide, new OwnCallerDialect(time), targetSide::runs, time);
+        new CallerHandler(
+            views, entrySide, new OwnCallerDialect(time), targetSide::attemptAtTarget, time);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
     this.announcer = new Announcer(settings, identity, platformLog, log);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallReader.java
@@ -7,13 +7,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalInt;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.amaranthmoor.caller.FirstAttempts;
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.HeaderField;
-import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.TimeSource;
@@ -31,17 +30,17 @@
   private static final String EXPECT = "expect";
 
   private final CallerDialect dialect;
-  private final Predicate<CallId> runsHere;
+  private final RunningRequests running;
   private final FirstAttempts firstAttempts;
   private final TimeSource time;
 
   CallReader(
       CallerDialect dialect,
-      Predicate<CallId> runsHere,
+      RunningRequests running,
       FirstAttempts firstAttempts,
       TimeSource time) {
     this.dialect = dialect;
-    this.runsHere = runsHere;
+    this.running = running;
     this.firstAttempts = firstAttempts;
     this.time = time;
   }
@@ -65,7 +64,8 @@
 
   private CallRequest toCall(ClassicHttpRequest http, Route route, CallerDialect.Facts facts)
       throws IOException {
-    boolean needed = facts.parent().filter(runsHere).isPresent();
+    CallRequest.Need need = need(facts);
+    boolean needed = need != CallRequest.Need.NONE;
     long nowNanos = time.nanos();
     Duration longest = Duration.ofMillis(route.longestMillis());
     Duration wait = facts.timeout().orElse(Duration.ofMillis(route.defaultDeadlineMillis()));
@@ -93,11 +93,19 @@
         facts.id(),
         route.rule(),
         nowNanos + Duration.ofMillis(objectiveMillis(route, facts, needed, nowNanos)).toNanos(),
-        needed,
+        need,
         route.maxAttempts(),
         0);
   }
 
+  private CallRequest.Need need(CallerDialect.Facts facts) {
+    OptionalInt attempt = facts.parent().map(running::attempt).orElseGet(OptionalInt::empty);
+    if (attempt.isEmpty()) {
+      return CallRequest.Need.NONE;
+    }
+    return attempt.getAsInt() > 1 ? CallRequest.Need.OF_REPEAT : CallRequest.Need.OF_FIRST_ATTEMPT;
+  }
+
   // What is left of the objective, which counts from the caller's first attempt; negative once it
   // has passed. A call that a running request needs states the rest of that request's wait.
   private long objectiveMillis(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -5,7 +5,6 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Predicate;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.FirstAttempts;
 import org.amaranthmoor.caller.ReturnTimes;
@@ -13,7 +12,6 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.http.HttpListener;
-import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
@@ -54,20 +52,20 @@
    * @param views what calls are routed by
    * @param entrySide serves calls
    * @param dialect how callers state calls and are told their ends
-   * @param runsHere whether a request runs at the target beside this node
+   * @param running the requests at the target beside this node
    * @param time the time
    */
   public CallerHandler(
       EntryViews views,
       EntrySide entrySide,
       CallerDialect dialect,
-      Predicate<CallId> runsHere,
+      RunningRequests running,
       TimeSource time) {
     this.views = views;
     this.entrySide = entrySide;
     this.dialect = dialect;
     this.time = time;
-    this.reader = new CallReader(dialect, runsHere, firstAttempts, time);
+    this.reader = new CallReader(dialect, running, firstAttempts, time);
   }
 
   /** Asks callers from now on to close their connections after the answer. */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -112,6 +112,9 @@
       return new Served(notRun(ResultCode.NOT_READY, "no configuration yet"), Optional.empty(), "");
     }
     service.get().retryBudget().onFirstAttempt();
+    if (request.need() == CallRequest.Need.OF_REPEAT) {
+      service.get().retryBudget().onRepeatOfOthers();
+    }
     Served served = tryServers(request, caller, service.get());
     long nanos = time.nanos() - startNanos;
     count(service.get(), served.outcome(), nanos);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryViews.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntryViews.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
-import java.util.function.IntSupplier;
 import org.amaranthmoor.balance.PickPolicy;
 import org.amaranthmoor.balance.Picker;
 import org.amaranthmoor.balance.ProbePlanner;
@@ -134,11 +133,18 @@
     return new Parts(
         spec,
         new Picker(policies.pick().apply(spec), ownZone),
-        new RetryBudget(spec.retryShare(), policies.retryBurst().getAsInt()),
+        budget(spec, old),
         new ProbePlanner(spec.probesPerSecond(), time.nanos()),
         old == null ? new CallCounts() : old.counts());
   }
 
+  // A changed service keeps its budget, or each change would allow a whole burst again.
+  private RetryBudget budget(ServiceSpec spec, Parts old) {
+    return old != null && old.spec().retryShare() == spec.retryShare()
+        ? old.retryBudget()
+        : policies.budget().apply(spec);
+  }
+
   private Server server(Deployment.Instance instance) {
     ServerStats known =
         stats.computeIfAbsent(
@@ -159,13 +165,15 @@
    * How a node treats services.
    *
    * @param pick chooses the way to pick servers of a service
-   * @param retryBurst most retries that are saved up for a service
+   * @param budget creates the budget of retries to a service
    */
-  public record Policies(Function<ServiceSpec, PickPolicy> pick, IntSupplier retryBurst) {
+  public record Policies(
+      Function<ServiceSpec, PickPolicy> pick, Function<ServiceSpec, RetryBudget> budget) {
 
     /** {@return what nodes use that release notes configure} */
     public static Policies standard() {
-      return new Policies(Policies::hotCold, () -> RETRY_BURST);
+      return new Policies(
+          Policies::hotCold, spec -> new RetryBudget(spec.retryShare(), RETRY_BURST));
     }
 
     private static PickPolicy hotCold(ServiceSpec spec) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
@@ -29,7 +29,7 @@
  * @param rule the rule that it matched
  * @param objectiveNanos until when an answer counts as in time, in monotonic nanoseconds of this
  *     process
- * @param needed whether a request that runs at a target already needs this one
+ * @param need whether a request that runs at a target already needs this one
  * @param maxAttempts most targets that the request may be sent to
  * @param patiencePercent share of the time that the work leaves until the objective which a target
  *     side may let the request wait, in percent; 0 to take it until the deadline
@@ -51,10 +51,27 @@
     CallId id,
     RuleName rule,
     long objectiveNanos,
-    boolean needed,
+    Need need,
     int maxAttempts,
     int patiencePercent) {
 
+  /** Whether a request that runs already needs this one. */
+  public enum Need {
+    /** No request needs it; a caller of its own waits for it. */
+    NONE,
+
+    /** A first attempt of a request needs it. */
+    OF_FIRST_ATTEMPT,
+
+    /** A repeated attempt of a request needs it, so that it is a repeat itself. */
+    OF_REPEAT
+  }
+
+  /** {@return whether a request that runs already needs this one} */
+  public boolean needed() {
+    return need != Need.NONE;
+  }
+
   /** Most bytes of a body that an entry side keeps for another attempt. */
   public static final int MAX_PREFIX_BYTES = 64 * 1024;
 
@@ -86,7 +103,7 @@
         id,
         rule,
         objectiveNanos,
-        needed,
+        need,
         maxAttempts,
         patience);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.amaranthmoor.balance.PickPolicy;
+import org.amaranthmoor.caller.RetryBudget;
 import org.amaranthmoor.daemon.caller.CallerDialect;
 import org.amaranthmoor.daemon.caller.CallerHandler;
 import org.amaranthmoor.daemon.caller.EntrySide;
@@ -118,6 +119,8 @@
   private final HttpListener callerListener;
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
+  // This node's part of the retries that all nodes together may save up.
+  private volatile int retryBurst;
   private long shownViewHash;
   private final MemberChanges memberChanges = new MemberChanges();
   private long nextFindNanos;
@@ -144,6 +147,7 @@
       EventLog log)
       throws IOException {
     this.settings = settings;
+    this.retryBurst = burstFor(1);
     this.time = time;
     this.log = log;
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
@@ -156,13 +160,16 @@
     this.views =
         new EntryViews(
             settings.zone(),
-            new EntryViews.Policies(spec -> new PickPolicy.ZoneFirst(DRAWN), this::retryBurst),
+            new EntryViews.Policies(
+                spec -> new PickPolicy.ZoneFirst(DRAWN),
+                spec -> RetryBudget.empty(spec.retryShare(), () -> retryBurst)),
             time);
     this.links =
         new PeerLinks(identity, group, executor, views::onLoad, metrics, time, this::isFar);
     TargetAccess access = new TargetAccess(identity, targetSide, links, executor);
     EntrySide entrySide = new EntrySide(settings.zone(), views, access, links, metrics, time, log);
-    this.callerHandler = new CallerHandler(views, entrySide, callerDialect, targetSide::runs, time);
+    this.callerHandler =
+        new CallerHandler(views, entrySide, callerDialect, targetSide::attemptAtTarget, time);
     this.directory = new InstanceDirectory(settings, records, this::onDirectory, log);
     this.registry =
         new TargetRegistry(
@@ -257,8 +264,8 @@
         .orElse(false);
   }
 
-  private int retryBurst() {
-    int nodes = Math.max(LEAST_NODES, membership.members().size());
+  private int burstFor(int members) {
+    int nodes = Math.max(LEAST_NODES, members);
     return (int) Math.max(1, settings.retrySlack() * SPENT_SLACK_SHARE / nodes);
   }
 
@@ -385,6 +392,7 @@
     long viewHash = membership.viewHash();
     if (viewHash != shownViewHash) {
       shownViewHash = viewHash;
+      retryBurst = burstFor(membership.members().size());
       logMembers();
       rebuildViews();
       links.closeGone(membership);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -89,7 +89,7 @@
         new CallId(open.getCallId()),
         new RuleName(open.getRule()),
         nowNanos + open.getObjectiveMicros() * NANOS_PER_MICRO,
-        open.getNeeded(),
+        open.getNeeded() ? CallRequest.Need.OF_FIRST_ATTEMPT : CallRequest.Need.NONE,
         1,
         open.getPatiencePercent());
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -2,8 +2,9 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -46,7 +47,8 @@
   private final TimeSource time;
   private final EventLog log;
   private final AtomicInteger running = new AtomicInteger();
-  private final Set<CallId> atTarget = ConcurrentHashMap.newKeySet();
+  // The number of the attempt of each request that runs at the target.
+  private final Map<CallId, Integer> atTarget = new ConcurrentHashMap<>();
 
   /**
    * Creates a target side.
@@ -219,7 +221,7 @@
       return giveBack(waiter, obstacle.get(), "not handed over");
     }
     long startNanos = time.nanos();
-    atTarget.add(request.id());
+    atTarget.put(request.id(), request.attempt());
     call.onCancel(connection::abort);
     TargetExchange exchange =
         new TargetExchange(
@@ -329,13 +331,15 @@
   }
 
   /**
-   * Returns whether a request is at the target now.
+   * Returns which attempt of a request is at the target now.
    *
    * @param id the caller's id of the request
-   * @return whether it was handed over and has not ended
+   * @return the number of the attempt that was handed over and has not ended, 1 for the first;
+   *     empty if there is none
    */
-  public boolean runs(CallId id) {
-    return atTarget.contains(id);
+  public OptionalInt attemptAtTarget(CallId id) {
+    Integer attempt = atTarget.get(id);
+    return attempt == null ? OptionalInt.empty() : OptionalInt.of(attempt);
   }
 
   /** {@return the exact load} */
