Say once what a target serves, what a node answers about itself, and how a task's failure is told

Found by reading the whole change: TargetLife.Serving and Member.Serving were one type twice, and the registry copied one into the other; the answers to lease and status questions stood in both kinds of node; so did the guard around repeated tasks; CallerHandler judged an outcome as EntrySide does; members were copied twice for each change. Behaviour and tests as before.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
@@ -10,23 +10,9 @@
  * @param slots requests the target may run at once
  * @param serviceTimeNanos time the target is expected to take for a request, in nanoseconds
  * @param draining whether the target side refuses new work
- * @param waitNanos time a request that arrives now is expected to wait for its slot, in nanoseconds
  */
 public record LoadReport(
-    int inFlight, int queued, int slots, long serviceTimeNanos, boolean draining, long waitNanos) {
-
-  /**
-   * Creates a report that says nothing of the wait.
-   *
-   * @param inFlight requests handed to the target and not finished
-   * @param queued requests waiting for a slot
-   * @param slots requests the target may run at once
-   * @param serviceTimeNanos time the target is expected to take for a request, in nanoseconds
-   * @param draining whether the target side refuses new work
-   */
-  public LoadReport(int inFlight, int queued, int slots, long serviceTimeNanos, boolean draining) {
-    this(inFlight, queued, slots, serviceTimeNanos, draining, 0);
-  }
+    int inFlight, int queued, int slots, long serviceTimeNanos, boolean draining) {
 
   /** {@return the requests in flight and queued together} */
   public int occupancy() {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Member.java
@@ -6,6 +6,7 @@
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.RegionName;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.Serving;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.protocol.node.MemberState;
 
@@ -39,14 +40,6 @@
     long version,
     Optional<Serving> serving) {
 
-  /**
-   * What a target serves.
-   *
-   * @param service the service
-   * @param slots requests it runs at once
-   */
-  public record Serving(ServiceName service, int slots) {}
-
   /**
    * Creates the state of a member whose target has said nothing.
    *
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -14,6 +14,7 @@
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.Serving;
 import org.amaranthmoor.protocol.node.Gossip;
 import org.amaranthmoor.protocol.node.MemberState;
 
@@ -131,7 +132,7 @@
    * @param serving what it serves, or empty if that is not known
    * @param draining whether this node refuses new work
    */
-  public synchronized void setServing(Optional<Member.Serving> serving, boolean draining) {
+  public synchronized void setServing(Optional<Serving> serving, boolean draining) {
     boolean changed = !serving.equals(self.serving()) || draining != self.draining();
     if (changed) {
       changeSelf(self.liveness(), draining, self.version() + 1, serving);
@@ -174,7 +175,7 @@
   }
 
   private void changeSelf(
-      Member.Liveness liveness, boolean draining, long version, Optional<Member.Serving> serving) {
+      Member.Liveness liveness, boolean draining, long version, Optional<Serving> serving) {
     self = selfAs(self.incarnation(), liveness, draining, version, serving);
     put(self);
     dissemination.add(self.node());
@@ -185,7 +186,7 @@
       Member.Liveness liveness,
       boolean draining,
       long version,
-      Optional<Member.Serving> serving) {
+      Optional<Serving> serving) {
     return new Member(
         self.node(),
         incarnation,
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetLife.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetLife.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.Serving;
 
 /**
  * What the target beside this node has said of itself, in the order in which it said it.
@@ -38,14 +38,6 @@
   public record Report(
       TargetRun run, long sequence, Serving serving, String host, int port, boolean leaving) {}
 
-  /**
-   * What a run serves.
-   *
-   * @param service the service
-   * @param slots requests it runs at once
-   */
-  public record Serving(ServiceName service, int slots) {}
-
   /** What a report has changed. */
   public enum Change {
     /** Nothing, as it is older than what is known. */
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
@@ -15,6 +15,7 @@
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.RegionName;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.Serving;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.node.Member.Liveness;
 import org.junit.jupiter.api.Nested;
@@ -224,7 +225,7 @@
     @Test
     void aChangeOfWhatATargetServesReachesTheMembersItIsSentTo() {
       node.learn(member(1, "r"));
-      Member.Serving serving = new Member.Serving(new ServiceName("lending"), 6);
+      Serving serving = new Serving(new ServiceName("lending"), 6);
 
       node.setServing(Optional.of(serving), false);
       node.announcements().forEach(message -> deliver(peer, message));
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetLifeTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetLifeTests.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.Serving;
 import org.amaranthmoor.target.TargetLife.Change;
 import org.amaranthmoor.target.TargetLife.Report;
 import org.junit.jupiter.api.Nested;
@@ -19,7 +20,7 @@
   private final TargetLife life = new TargetLife(true);
 
   private static Report report(TargetRun run, long sequence, boolean leaving) {
-    TargetLife.Serving serving = new TargetLife.Serving(new ServiceName("lending"), 6);
+    Serving serving = new Serving(new ServiceName("lending"), 6);
     return new Report(run, sequence, serving, "127.0.0.1", 8000, leaving);
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -23,6 +23,7 @@
 import org.amaranthmoor.daemon.caller.TargetAccess;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.log.GuardedTasks;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.NodeIdentity;
@@ -83,6 +84,7 @@
   private final NodeSettings settings;
   private final TimeSource time;
   private final EventLog log;
+  private final GuardedTasks tasks;
   private final NodeIdentity identity;
   private final NodeMetrics metrics = new NodeMetrics();
   private final StateHolder holder = new StateHolder();
@@ -124,6 +126,7 @@
     this.settings = settings;
     this.time = time;
     this.log = log;
+    this.tasks = new GuardedTasks(log);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
@@ -341,8 +344,8 @@
   }
 
   private void tick() {
-    guarded(gossip::tick);
-    guarded(
+    tasks.run(gossip::tick);
+    tasks.run(
         () ->
             links
                 .supervise()
@@ -350,7 +353,7 @@
   }
 
   private void slowTick() {
-    guarded(
+    tasks.run(
         () -> {
           ClusterState state = holder.current();
           views.rebuild(new NoteDeployment(state, membership));
@@ -359,7 +362,7 @@
           evictor.due(state).forEach(this::evict);
           List<NodeName> reachable =
               membership.members().stream().filter(Member::reachable).map(Member::node).toList();
-          executor.execute(() -> guarded(() -> checkpointer.runIfDue(reachable)));
+          executor.execute(() -> tasks.run(() -> checkpointer.runIfDue(reachable)));
           links.closeGone(membership);
           if (state.offset() == ClusterState.NO_OFFSET) {
             settings.peers().forEach(this::introduce);
@@ -371,21 +374,13 @@
     boolean missing =
         announcer.standing(holder.current(), announcedOnce) == Announcer.Standing.MISSING;
     if (missing && !draining && logReadToEnd) {
-      guarded(() -> announcer.announce(time.nanos()));
+      tasks.run(() -> announcer.announce(time.nanos()));
     }
   }
 
   private void evict(Member dead) {
     duty.get().onEvictionRequested();
-    executor.execute(() -> guarded(() -> announcer.evict(dead.node(), dead.incarnation())));
-  }
-
-  private void guarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      log.warn("task-failed", () -> "error=" + EventLog.quote(e.toString()));
-    }
+    executor.execute(() -> tasks.run(() -> announcer.evict(dead.node(), dead.incarnation())));
   }
 
   private String obstacle() {
@@ -407,7 +402,7 @@
     log.info("drain-started", () -> "in-progress=" + inProgress());
     membership.leave();
     targetSide.drain();
-    guarded(announcer::leave);
+    tasks.run(announcer::leave);
     long limit = time.nanos() + TimeUnit.MILLISECONDS.toNanos(settings.drainLimitMillis());
     long notice = time.nanos() + TimeUnit.MILLISECONDS.toNanos(NOTICE_MILLIS);
     boolean finished = awaitIdle(notice, limit);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -34,8 +34,6 @@
  */
 public final class CallerHandler implements HttpServerRequestHandler {
 
-  private static final int FIRST_SERVER_ERROR = 500;
-
   private final EntryViews views;
   private final EntrySide entrySide;
   private final CallReader reader;
@@ -129,7 +127,7 @@
       throws HttpException, IOException {
     HttpCallerConnection caller = new HttpCallerConnection(http, context);
     EntrySide.Served served = entrySide.serve(request, caller);
-    if (!isServed(served.outcome())) {
+    if (!served.endedWell()) {
       firstAttempts.onUnserved(request.rule(), time.nanos());
     }
     ClassicHttpResponse response =
@@ -164,11 +162,6 @@
     return new Outcome.NotRun<>(notRun.code(), millis, notRun.detail());
   }
 
-  private static boolean isServed(Outcome<CallResponse> outcome) {
-    return outcome instanceof Outcome.Answered<CallResponse> answered
-        && answered.response().status() < FIRST_SERVER_ERROR;
-  }
-
   private static void submit(
       ResponseTrigger trigger, ClassicHttpResponse response, Outcome<CallResponse> outcome)
       throws HttpException, IOException {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -95,7 +95,13 @@
    * @param server the server of the last attempt, or empty if there was none
    * @param asked nodes asked in order, each with the end of that attempt
    */
-  public record Served(Outcome<CallResponse> outcome, Optional<Server> server, String asked) {}
+  public record Served(Outcome<CallResponse> outcome, Optional<Server> server, String asked) {
+
+    /** {@return whether a target answered, and not with a failure of its own} */
+    boolean endedWell() {
+      return outcome instanceof Outcome.Answered<CallResponse> && !isFailure(outcome);
+    }
+  }
 
   /**
    * Serves a call.
@@ -138,7 +144,7 @@
                 + describe(served.outcome())
                 + " asked="
                 + served.asked();
-    if (endsWell(served.outcome())) {
+    if (served.endedWell()) {
       log.decision("call", line);
     } else {
       log.failure("call", line);
@@ -146,10 +152,6 @@
     return served;
   }
 
-  private static boolean endsWell(Outcome<CallResponse> outcome) {
-    return outcome instanceof Outcome.Answered<CallResponse> && !isFailure(outcome);
-  }
-
   private static String describe(Outcome<CallResponse> outcome) {
     return switch (outcome) {
       case Outcome.Answered<CallResponse> answered ->
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -22,6 +22,7 @@
 import org.amaranthmoor.daemon.caller.TargetAccess;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.log.GuardedTasks;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.NodeIdentity;
@@ -97,6 +98,7 @@
   private final MeshSettings settings;
   private final TimeSource time;
   private final EventLog log;
+  private final GuardedTasks tasks;
   private final NodeIdentity identity;
   private final NodeMetrics metrics = new NodeMetrics();
   private final ConfigHolder config = new ConfigHolder();
@@ -150,6 +152,7 @@
     this.retryBurst = burstFor(1);
     this.time = time;
     this.log = log;
+    this.tasks = new GuardedTasks(log);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
@@ -352,7 +355,7 @@
 
   private void onPeerVersion(String node, long version) {
     if (version > config.version()) {
-      executor.execute(() -> guarded(() -> peerConfigs.readLater(node, version)));
+      executor.execute(() -> tasks.run(() -> peerConfigs.readLater(node, version)));
     }
   }
 
@@ -362,16 +365,16 @@
   }
 
   private void tick() {
-    guarded(gossip::tick);
-    guarded(registry::refresh);
-    guarded(this::renewIfOvertaken);
-    guarded(
+    tasks.run(gossip::tick);
+    tasks.run(registry::refresh);
+    tasks.run(this::renewIfOvertaken);
+    tasks.run(
         () ->
             links
                 .supervise()
                 .forEach(address -> log.warn("link-silent", () -> "peer=" + address.node())));
-    guarded(this::followMembership);
-    guarded(this::findPeers);
+    tasks.run(this::followMembership);
+    tasks.run(this::findPeers);
   }
 
   // A node that knows nobody asks the peers of its settings, until one of them answers.
@@ -392,15 +395,16 @@
     long viewHash = membership.viewHash();
     if (viewHash != shownViewHash) {
       shownViewHash = viewHash;
-      retryBurst = burstFor(membership.members().size());
-      logMembers();
+      List<Member> members = membership.members();
+      retryBurst = burstFor(members.size());
+      logChanges(members);
       rebuildViews();
       links.closeGone(membership);
     }
   }
 
-  private void logMembers() {
-    List<String> changes = memberChanges.update(membership.members());
+  private void logChanges(List<Member> members) {
+    List<String> changes = memberChanges.update(members);
     if (!changes.isEmpty()) {
       log.info("members-changed", () -> "changes=" + String.join(",", changes));
     }
@@ -420,14 +424,6 @@
             });
   }
 
-  private void guarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      log.warn("task-failed", () -> "error=" + EventLog.quote(e.toString()));
-    }
-  }
-
   /**
    * Stops as planned: says so at once, serves callers until they have left, lets requests in
    * progress end, and closes.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshQueries.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshQueries.java
@@ -9,9 +9,9 @@
 import org.amaranthmoor.daemon.node.StateFrames;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.protocol.node.Frame;
-import org.amaranthmoor.protocol.node.LeaseGrant;
 import org.amaranthmoor.protocol.node.LeaseRequest;
 import org.amaranthmoor.protocol.node.StateRequest;
+import org.amaranthmoor.protocol.node.StatusReply;
 
 /**
  * Answers other nodes' queries from what this node holds.
@@ -42,14 +42,7 @@
   // Nobody claims idempotency keys here, so nobody asks for confirmations.
   @Override
   public Frame answerLease(LeaseRequest request) {
-    LeaseGrant grant =
-        LeaseGrant.newBuilder()
-            .setQuery(request.getQuery())
-            .setGranter(identity.node().value())
-            .setGranterIncarnation(identity.incarnation().value())
-            .setGranted(false)
-            .build();
-    return Frame.newBuilder().setLeaseGrant(grant).build();
+    return StateFrames.lease(request.getQuery(), identity, false);
   }
 
   @Override
@@ -63,7 +56,9 @@
   @Override
   public Frame answerStatus(long query) {
     long version = views.current().map(EntryView::offset).orElse(-1L);
-    return StateFrames.status(
-        query, identity, version, targetSide.load(), settings.node().value(), settings.zone());
+    StatusReply.Builder reply =
+        StateFrames.status(
+            query, identity, version, targetSide.load(), settings.node().value(), settings.zone());
+    return Frame.newBuilder().setStatusReply(reply).build();
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -6,8 +6,8 @@
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.Serving;
 import org.amaranthmoor.model.TimeSource;
-import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.TargetHealth;
@@ -138,9 +138,7 @@
     } else {
       targetSide.close(ResultCode.TARGET_ABSENT);
     }
-    Optional<Member.Serving> serving =
-        ready.map(
-            report -> new Member.Serving(report.serving().service(), report.serving().slots()));
+    Optional<Serving> serving = ready.map(TargetLife.Report::serving);
     membership.setServing(serving, serving.isEmpty());
     log.info(
         "target-side",
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -193,7 +193,6 @@
         .setSlots(load.slots())
         .setServiceTimeMicros(load.serviceTimeNanos() / NANOS_PER_MICRO)
         .setDraining(load.draining())
-        .setWaitMicros(load.waitNanos() / NANOS_PER_MICRO)
         .build();
   }
 
@@ -203,8 +202,7 @@
         load.getQueued(),
         load.getSlots(),
         load.getServiceTimeMicros() * NANOS_PER_MICRO,
-        load.getDraining(),
-        load.getWaitMicros() * NANOS_PER_MICRO);
+        load.getDraining());
   }
 
   private static Header toMessage(HeaderField field) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeQueries.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/NodeQueries.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import org.amaranthmoor.daemon.caller.EntryView;
 import org.amaranthmoor.daemon.caller.EntryViews;
 import org.amaranthmoor.daemon.caller.ServiceView;
 import org.amaranthmoor.daemon.settings.NodeSettings;
@@ -11,7 +12,6 @@
 import org.amaranthmoor.platform.ClusterState;
 import org.amaranthmoor.platform.StateHolder;
 import org.amaranthmoor.protocol.node.Frame;
-import org.amaranthmoor.protocol.node.LeaseGrant;
 import org.amaranthmoor.protocol.node.LeaseRequest;
 import org.amaranthmoor.protocol.node.ServiceCounts;
 import org.amaranthmoor.protocol.node.StateRequest;
@@ -66,14 +66,8 @@
 
   @Override
   public Frame answerLease(LeaseRequest request) {
-    LeaseGrant grant =
-        LeaseGrant.newBuilder()
-            .setQuery(request.getQuery())
-            .setGranter(identity.node().value())
-            .setGranterIncarnation(identity.incarnation().value())
-            .setGranted(duty.get().confirms(request.getFingerprint()))
-            .build();
-    return Frame.newBuilder().setLeaseGrant(grant).build();
+    boolean granted = duty.get().confirms(request.getFingerprint());
+    return StateFrames.lease(request.getQuery(), identity, granted);
   }
 
   @Override
@@ -90,15 +84,14 @@
   public Frame answerStatus(long query) {
     ClusterState state = holder.current();
     StatusReply.Builder reply =
-        StatusReply.newBuilder()
-            .setQuery(query)
-            .setNode(identity.node().value())
-            .setIncarnation(identity.incarnation().value())
-            .setConfigOffset(views.current().map(view -> view.offset()).orElse(-1L))
-            .setDigest(CheckpointCodec.digest(state))
-            .setLoad(Frames.toMessage(targetSide.load()))
-            .setTarget(settings.target().name().value())
-            .setZone(settings.zone().value());
+        StateFrames.status(
+                query,
+                identity,
+                views.current().map(EntryView::offset).orElse(-1L),
+                targetSide.load(),
+                settings.target().name().value(),
+                settings.zone())
+            .setDigest(CheckpointCodec.digest(state));
     views
         .current()
         .ifPresent(view -> view.services().values().forEach(v -> reply.addServices(counts(v))));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/StateFrames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/StateFrames.java
@@ -7,6 +7,7 @@
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.protocol.node.Frame;
+import org.amaranthmoor.protocol.node.LeaseGrant;
 import org.amaranthmoor.protocol.node.StateReply;
 import org.amaranthmoor.protocol.node.StateRequest;
 import org.amaranthmoor.protocol.node.StatusReply;
@@ -64,7 +65,7 @@
   }
 
   /**
-   * Creates the answer to a question for a status.
+   * Begins the answer to a question for a status.
    *
    * @param query id of the query
    * @param identity the node
@@ -72,25 +73,41 @@
    * @param load load of its target side
    * @param target its target
    * @param zone its availability zone
-   * @return the frame
+   * @return what every node says of itself
    */
-  public static Frame status(
+  public static StatusReply.Builder status(
       long query,
       NodeIdentity identity,
       long version,
       LoadReport load,
       String target,
       ZoneName zone) {
-    StatusReply reply =
-        StatusReply.newBuilder()
+    return StatusReply.newBuilder()
+        .setQuery(query)
+        .setNode(identity.node().value())
+        .setIncarnation(identity.incarnation().value())
+        .setConfigOffset(version)
+        .setLoad(Frames.toMessage(load))
+        .setTarget(target)
+        .setZone(zone.value());
+  }
+
+  /**
+   * Creates the answer to a question for a confirmation.
+   *
+   * @param query id of the query
+   * @param identity the node
+   * @param granted whether it confirms
+   * @return the frame
+   */
+  public static Frame lease(long query, NodeIdentity identity, boolean granted) {
+    LeaseGrant grant =
+        LeaseGrant.newBuilder()
             .setQuery(query)
-            .setNode(identity.node().value())
-            .setIncarnation(identity.incarnation().value())
-            .setConfigOffset(version)
-            .setLoad(Frames.toMessage(load))
-            .setTarget(target)
-            .setZone(zone.value())
+            .setGranter(identity.node().value())
+            .setGranterIncarnation(identity.incarnation().value())
+            .setGranted(granted)
             .build();
-    return Frame.newBuilder().setStatusReply(reply).build();
+    return Frame.newBuilder().setLeaseGrant(grant).build();
   }
 }
