Build the table of routes once for a configuration, not at each change of the members

Found by reading the change: every change of a member, one a tick while sixty nodes start, put all routes of the configuration (up to 1,400) into a new table. RoutingConfig holds the table now. Behaviour and tests as before.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/HostRoutes.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/HostRoutes.java
@@ -70,6 +70,11 @@
     this.random = random;
   }
 
+  /** {@return the number of rules} */
+  public int size() {
+    return byHost.values().stream().mapToInt(Map::size).sum();
+  }
+
   @Override
   public Optional<Route> find(String method, String host, String path) {
     Map<String, Rule> prefixes = byHost.get(Router.bareHost(host));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshDeployment.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshDeployment.java
@@ -3,8 +3,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
-import org.amaranthmoor.caller.HostRoutes;
 import org.amaranthmoor.caller.Router;
 import org.amaranthmoor.config.ServiceSpec;
 import org.amaranthmoor.daemon.caller.Deployment;
@@ -24,12 +22,10 @@
 
   private final RoutingConfig config;
   private final Membership membership;
-  private final Router routes;
 
   MeshDeployment(RoutingConfig config, Membership membership) {
     this.config = config;
     this.membership = membership;
-    this.routes = new HostRoutes(config.rules(), () -> ThreadLocalRandom.current().nextDouble());
   }
 
   @Override
@@ -39,7 +35,7 @@
 
   @Override
   public Router routes() {
-    return routes;
+    return config.routes();
   }
 
   @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -343,7 +343,7 @@
                   + " source="
                   + source
                   + " rules="
-                  + found.rules().size()
+                  + found.routes().size()
                   + " services="
                   + found.services().size());
     }
