--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionTests.java
@@ -20,15 +20,14 @@
   private static final long FAR = 60_000 * MILLI;
 
   private final Admission admission = new Admission(2, 3, new SplittableRandom(1), 0);
-  private final List<RecordingWaiter> running = new ArrayList<>();
+  private final List<Request> running = new ArrayList<>();
 
-  /** Records what it is told. */
-  private static final class RecordingWaiter implements Admission.Waiter {
+  /** A request with a priority and a deadline. */
+  private static final class Request extends RecordingWaiter {
     private final Priority priority;
     private final long deadlineNanos;
-    private final List<Decision> told = new ArrayList<>();
 
-    private RecordingWaiter(Priority priority, long deadlineNanos) {
+    private Request(Priority priority, long deadlineNanos) {
       this.priority = priority;
       this.deadlineNanos = deadlineNanos;
     }
@@ -42,31 +41,21 @@
     public long deadlineNanos() {
       return deadlineNanos;
     }
-
-    @Override
-    public void admitted() {
-      told.add(new Decision.Admitted());
-    }
-
-    @Override
-    public void refused(Decision.Refused refusal) {
-      told.add(refusal);
-    }
   }
 
-  private static RecordingWaiter waiter(Priority priority) {
-    return new RecordingWaiter(priority, FAR);
+  private static Request waiter(Priority priority) {
+    return new Request(priority, FAR);
   }
 
-  private RecordingWaiter queued(Priority priority) {
-    RecordingWaiter waiter = waiter(priority);
+  private Request queued(Priority priority) {
+    Request waiter = waiter(priority);
     assertInstanceOf(Decision.Queued.class, admission.offer(waiter, 0));
     return waiter;
   }
 
   private void fillSlots() {
     for (int i = 0; i < 2; i++) {
-      RecordingWaiter waiter = waiter(Priority.NORMAL);
+      Request waiter = waiter(Priority.NORMAL);
       assertInstanceOf(Decision.Admitted.class, admission.offer(waiter, 0));
       running.add(waiter);
     }
@@ -91,9 +80,9 @@
 
     @Test
     void admitsWaitersByPriorityAndThenInOrder() {
-      RecordingWaiter browse = queued(Priority.BROWSE);
-      RecordingWaiter first = queued(Priority.CRITICAL);
-      RecordingWaiter second = queued(Priority.CRITICAL);
+      Request browse = queued(Priority.BROWSE);
+      Request first = queued(Priority.CRITICAL);
+      Request second = queued(Priority.CRITICAL);
 
       admission.release(running.removeFirst(), MILLI, MILLI);
       admission.release(running.removeFirst(), MILLI, MILLI);
@@ -105,7 +94,7 @@
 
     @Test
     void refusesAtOnceWhatCannotEndBeforeItsDeadline() {
-      Decision decision = admission.offer(new RecordingWaiter(Priority.CRITICAL, MILLI), 0);
+      Decision decision = admission.offer(new Request(Priority.CRITICAL, MILLI), 0);
 
       Decision.Refused refused = assertInstanceOf(Decision.Refused.class, decision);
       assertEquals(ResultCode.OVERLOADED, refused.code());
@@ -116,7 +105,7 @@
     void aFullQueueGivesTheNewestBrowserUpForACriticalRequest() {
       queued(Priority.BROWSE);
       queued(Priority.BROWSE);
-      RecordingWaiter newest = queued(Priority.BROWSE);
+      Request newest = queued(Priority.BROWSE);
 
       queued(Priority.CRITICAL);
 
@@ -135,7 +124,7 @@
 
     @Test
     void aWaiterWhoseDeadlinePassedIsRefusedNotAdmitted() {
-      RecordingWaiter late = new RecordingWaiter(Priority.NORMAL, 50 * MILLI);
+      Request late = new Request(Priority.NORMAL, 50 * MILLI);
       assertInstanceOf(Decision.Queued.class, admission.offer(late, 0));
 
       admission.release(running.removeFirst(), MILLI, 60 * MILLI);
@@ -147,7 +136,7 @@
 
     @Test
     void aWithdrawnWaiterIsToldNothing() {
-      RecordingWaiter waiter = queued(Priority.NORMAL);
+      Request waiter = queued(Priority.NORMAL);
 
       assertTrue(admission.withdraw(waiter));
       admission.release(running.removeFirst(), MILLI, MILLI);
@@ -162,7 +151,7 @@
     @Test
     void refusesWaitersAndNewRequests() {
       fillSlots();
-      RecordingWaiter waiting = queued(Priority.CRITICAL);
+      Request waiting = queued(Priority.CRITICAL);
 
       admission.drain(0);
 
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -26,14 +26,13 @@
   private final Admission admission =
       new Admission(new Admission.Limits(6, 48, 5, 0.3), new SplittableRandom(1), 0);
 
-  /** A request that records what it is told. */
-  private static class Request implements Admission.Waiter {
+  /** A request of a rule, with the patience that its entry side has. */
+  private static class Request extends RecordingWaiter {
     private final RuleName rule;
     private final Priority priority;
     private final long arrivedNanos;
     private final long objectiveNanos;
     private final int patiencePercent;
-    private final List<Decision> told = new ArrayList<>();
 
     Request(RuleName rule, Priority priority, long now, long objective, int patiencePercent) {
       this.rule = rule;
@@ -71,16 +70,6 @@
     public int patiencePercent() {
       return patiencePercent;
     }
-
-    @Override
-    public void admitted() {
-      told.add(new Decision.Admitted());
-    }
-
-    @Override
-    public void refused(Decision.Refused refusal) {
-      told.add(refusal);
-    }
   }
 
   private void learn(RuleName rule, long workMillis) {
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/RecordingWaiter.java
@@ -0,0 +1,21 @@
+package org.amaranthmoor.target;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthmoor.target.Admission.Decision;
+
+/** A request that records what it is told. */
+abstract class RecordingWaiter implements Admission.Waiter {
+
+  final List<Decision> told = new ArrayList<>();
+
+  @Override
+  public void admitted() {
+    told.add(new Decision.Admitted());
+  }
+
+  @Override
+  public void refused(Decision.Refused refusal) {
+    told.add(refusal);
+  }
+}
