--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
@@ -35,7 +35,7 @@
     boolean firstStart,
     Duration grace,
     double retryShare,
-    int retrySlack) {
+    double retrySlack) {
 
   /** Copies the peers. */
   public MeshSettings {
