Serve a stopping node's callers with its own server until they have left

Cause, traced in KNOWN-RED.txt: a node that stops took its own server out of its own view with the next tick (100 ms) and closed its target side after 600 ms, though its callers come for up to 3 s. Where no other server of the service was there they were refused.

Change: the own view holds the own server as long as its target side is open, whatever other nodes are told; other nodes are told at once to go elsewhere; the target side closes when callers are refused, after 3 s. A report that arrives meanwhile does not announce the server again.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshDeployment.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshDeployment.java
@@ -6,7 +6,9 @@
 import org.amaranthmoor.caller.Router;
 import org.amaranthmoor.config.ServiceSpec;
 import org.amaranthmoor.daemon.caller.Deployment;
+import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.model.Serving;
 import org.amaranthmoor.model.TargetName;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
@@ -16,16 +18,27 @@
  * A deployment whose rules come from the operator's configuration and whose targets from the
  * members' own states.
  *
- * <p>Safe for use by several threads.
+ * <p>The target beside this node is part of it as long as its target side is open, whatever other
+ * nodes are told: a node that stops tells them at once to go elsewhere, but still serves its own
+ * callers. Safe for use by several threads.
  */
 final class MeshDeployment implements Deployment {
 
   private final RoutingConfig config;
   private final Membership membership;
+  private final Optional<Serving> ownServing;
 
-  MeshDeployment(RoutingConfig config, Membership membership) {
+  /**
+   * Creates a deployment.
+   *
+   * @param config the configuration in force
+   * @param membership the members
+   * @param ownServing what the target beside this node serves, if its target side is open
+   */
+  MeshDeployment(RoutingConfig config, Membership membership, Optional<Serving> ownServing) {
     this.config = config;
     this.membership = membership;
+    this.ownServing = ownServing;
   }
 
   @Override
@@ -45,15 +58,22 @@
 
   @Override
   public List<Instance> instances(ServiceName service) {
+    NodeName own = membership.self().node();
     return membership.members().stream()
-        .filter(member -> member.reachable() && !member.draining())
-        .flatMap(member -> toInstance(member, service).stream())
+        .flatMap(
+            member ->
+                toInstance(member, member.node().equals(own) ? ownServing : taking(member), service)
+                    .stream())
         .toList();
   }
 
-  private static Optional<Instance> toInstance(Member member, ServiceName service) {
-    return member
-        .serving()
+  private static Optional<Serving> taking(Member member) {
+    return member.reachable() && !member.draining() ? member.serving() : Optional.empty();
+  }
+
+  private static Optional<Instance> toInstance(
+      Member member, Optional<Serving> taking, ServiceName service) {
+    return taking
         .filter(serving -> serving.service().equals(service))
         .map(
             serving ->
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -73,9 +73,6 @@
   /** Time after a stop began in which callers still send, in milliseconds: two missed checks. */
   private static final long CALLERS_LEAVE_MILLIS = 3_000;
 
-  /** Time for which other nodes may still send after a stop began, in milliseconds. */
-  private static final long NODES_LEAVE_MILLIS = 600;
-
   /** Time kept free at the end of a stop, in milliseconds; closing takes less on a slow machine. */
   private static final long STOP_RESERVE_MILLIS = 600;
 
@@ -350,7 +347,9 @@
   }
 
   private synchronized void rebuildViews() {
-    config.current().ifPresent(held -> views.rebuild(new MeshDeployment(held, membership)));
+    config
+        .current()
+        .ifPresent(held -> views.rebuild(new MeshDeployment(held, membership, registry.serving())));
   }
 
   private void onPeerVersion(String node, long version) {
@@ -437,13 +436,12 @@
     long begin = time.nanos();
     log.info("stop-started", () -> "in-progress=" + inProgress());
     callerHandler.closeConnections();
-    membership.setServing(Optional.empty(), true);
+    registry.leave();
     gossip.send(membership.announcements());
     long end = begin + settings.grace().toNanos() - millis(STOP_RESERVE_MILLIS);
-    sleepUntil(begin + millis(NODES_LEAVE_MILLIS), false);
-    registry.stop();
     sleepUntil(begin + millis(CALLERS_LEAVE_MILLIS), false);
     callerHandler.refuseNew();
+    registry.stop();
     boolean finished = sleepUntil(end, true);
     log.info("stop-ended", () -> "finished=" + finished + " in-progress=" + inProgress());
     halt();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -42,7 +42,9 @@
   private final Runnable onChange;
   private final TimeSource time;
   private final EventLog log;
-  private Optional<TargetLife.Report> open = Optional.empty();
+  // Written under the lock, read without it.
+  private volatile Optional<TargetLife.Report> open = Optional.empty();
+  private boolean leaving;
   private boolean stopping;
 
   TargetRegistry(
@@ -138,8 +140,7 @@
     } else {
       targetSide.close(ResultCode.TARGET_ABSENT);
     }
-    Optional<Serving> serving = ready.map(TargetLife.Report::serving);
-    membership.setServing(serving, serving.isEmpty());
+    announce();
     log.info(
         "target-side",
         () ->
@@ -149,11 +150,27 @@
     onChange.run();
   }
 
+  private void announce() {
+    Optional<Serving> offered = leaving ? Optional.empty() : serving();
+    membership.setServing(offered, offered.isEmpty());
+  }
+
+  /** {@return what the target side is open for} */
+  Optional<Serving> serving() {
+    return open.map(TargetLife.Report::serving);
+  }
+
   private static Admission.Limits limits(int slots) {
     int concurrency = Math.max(1, (int) (slots * USED_SLOT_SHARE));
     return new Admission.Limits(slots, slots * QUEUE_PER_SLOT, concurrency, FIRST_WORK_SHARE);
   }
 
+  /** Tells other nodes to send nothing more; the target side stays open for this node's callers. */
+  synchronized void leave() {
+    leaving = true;
+    announce();
+  }
+
   /** Closes the target side for good; requests in progress go on. */
   synchronized void stop() {
     stopping = true;
