Tell a cold target from one in a slow phase, and estimate work right from the first request

Load pattern: all power lost; targets are cold (factor 2 for seconds), neighbours slow some of them four times on top, and nothing is known of any.

Requests with a second left were refused at idle targets.

Ruled out: asking less patience of the entry side; the refusals came from the estimate.

Change: the lasting factor is the lowest of the last second, if reports span more than a phase or the target says that it is cold (its cold time is read in the adapter); a phase is what goes beyond. The speed is asked for before the first work. What work took at an unknown speed teaches nothing. A refusal for an old report asks for a new one. A question has 60 ms to connect and 60 to be answered, and a wait for it ends after 120 ms whatever becomes of it; waiters have themselves checked again. A connect for a request has 250 ms instead of a second; it has not run then and goes elsewhere.

A test's arrangement changed: uploads are learnt before the probe is set, because the first work of a rule now waits for the speed. What it asserts is the same.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -20,9 +20,13 @@
  * expected to end in time is refused at once, so that it may go elsewhere, and slots go to requests
  * that can still be in time. Where the target tells its speed, work that a slow phase would make
  * late is not started in one: the speed is asked for if it is not known freshly, and the work waits
- * for the phase to end or goes elsewhere. Invariants: at most {@link Limits#concurrency()} requests
- * are admitted and not released; a waiter gets exactly one final decision. Waiters are told outside
- * the lock. Safe for use by several threads.
+ * for the phase to end or goes elsewhere. After a restart nothing is known of the target: the speed
+ * is asked for before the first work, what work took at an unknown speed teaches nothing, and a
+ * refusal for a speed that is not known freshly asks for it, so that the next request finds it.
+ * Invariants: at most {@link Limits#concurrency()} requests are admitted and not released; a waiter
+ * gets exactly one final decision; a wait for the speed is bounded by {@link #SPEED_WAIT_NANOS}
+ * however the question ends, if waiters call {@link #recheck}. Waiters are told outside the lock.
+ * Safe for use by several threads.
  */
 public final class Admission {
 
@@ -52,6 +56,12 @@
    */
   private static final long CROWDED_NANOS = 250_000_000L;
 
+  /**
+   * Longest wait for an answer to the question for the target's speed, in nanoseconds: the time
+   * that a question has to connect, and as long again to be answered.
+   */
+  public static final long SPEED_WAIT_NANOS = 120_000_000L;
+
   /** Rules whose service times are remembered at most. */
   private static final int MAX_RULES = 10_000;
 
@@ -147,9 +157,12 @@
     void refused(Decision.Refused refusal);
   }
 
-  private record Queued(Waiter waiter, long number, double guessNanos, double latestEndNanos) {}
+  private record Queued(
+      Waiter waiter, long number, long arrivedNanos, double guessNanos, double latestEndNanos) {}
 
-  private record Running(double workNanos, double guessNanos, double factor, long endNanos) {}
+  // The factor counts as known if it was reported freshly before the work began.
+  private record Running(
+      double workNanos, double guessNanos, double factor, boolean factorKnown, long endNanos) {}
 
   private static final Comparator<Queued> ORDER =
       Comparator.comparing((Queued queued) -> queued.waiter().priority())
@@ -205,11 +218,29 @@
     Decision decision;
     synchronized (this) {
       decision = decide(waiter, nowNanos, notices);
+      if (decision instanceof Decision.Refused refused) {
+        askSpeedIfRefusedForIt(refused, waiter, nowNanos, notices);
+      }
     }
     notices.deliver();
     return decision;
   }
 
+  // Without the answer the next request would be refused for the same old report.
+  private void askSpeedIfRefusedForIt(
+      Decision.Refused refused, Waiter waiter, long nowNanos, Notices notices) {
+    boolean forTime =
+        refused.code() == ResultCode.OVERLOADED || refused.code() == ResultCode.TOO_LATE_HERE;
+    boolean free = running.size() < limits.concurrency();
+    double usualNanos = times.expectedNanos(waiter.rule(), firstGuess(waiter, nowNanos), nowNanos);
+    if (forTime
+        && free
+        && !slowdown.fresh(nowNanos)
+        && nowNanos + usualNanos <= waiter.objectiveNanos()) {
+      speedProbe.ifPresent(notices.pending::add);
+    }
+  }
+
   private Decision decide(Waiter waiter, long nowNanos, Notices notices) {
     if (closed.isPresent()) {
       return refuse(closed.get(), nowNanos);
@@ -250,7 +281,8 @@
 
   private Queued arrived(Waiter waiter, long nowNanos) {
     double guessNanos = firstGuess(waiter, nowNanos);
-    double workNanos = times.expectedNanos(waiter.rule(), guessNanos, nowNanos);
+    double workNanos =
+        slowdown.atBestNanos(times.expectedNanos(waiter.rule(), guessNanos, nowNanos), nowNanos);
     double slackNanos = Math.max(0, waiter.objectiveNanos() - nowNanos - workNanos);
     double latestEndNanos =
         waiter.patiencePercent() == 0
@@ -258,7 +290,7 @@
             : Math.min(
                 (double) waiter.objectiveNanos(),
                 nowNanos + workNanos + slackNanos * waiter.patiencePercent() / PERCENT);
-    return new Queued(waiter, ++arrivals, guessNanos, latestEndNanos);
+    return new Queued(waiter, ++arrivals, nowNanos, guessNanos, latestEndNanos);
   }
 
   // Tells one that more patience would help from one that cannot be in time here.
@@ -285,16 +317,25 @@
     if (!hangsOnSpeed(request, nowNanos)) {
       return true;
     }
-    return slowdown.fresh(nowNanos) && !slowdown.slow(nowNanos);
+    if (slowdown.fresh(nowNanos)) {
+      return !slowdown.slow(nowNanos);
+    }
+    boolean waitedEnough = nowNanos - request.arrivedNanos() >= SPEED_WAIT_NANOS;
+    return slowdown.failedToTell(nowNanos) || waitedEnough;
   }
 
+  // Whether the work ends in time outside of a slow phase, but not in one: before its objective, or
+  // if that is too near, before its deadline.
   private boolean hangsOnSpeed(Queued request, long nowNanos) {
-    if (speedProbe.isEmpty() || !slowdown.told()) {
+    if (speedProbe.isEmpty()) {
       return false;
     }
     double workNanos = workNanos(request, nowNanos);
-    double leftNanos = (double) (request.waiter().objectiveNanos() - nowNanos);
-    return slowdown.matters(workNanos, leftNanos) && workNanos <= leftNanos;
+    double bestNanos = slowdown.atBestNanos(workNanos, nowNanos);
+    double objectiveLeft = (double) (request.waiter().objectiveNanos() - nowNanos);
+    double deadlineLeft = (double) (request.waiter().deadlineNanos() - nowNanos);
+    double leftNanos = bestNanos <= objectiveLeft ? objectiveLeft : deadlineLeft;
+    return bestNanos <= leftNanos && slowdown.matters(workNanos, leftNanos, nowNanos);
   }
 
   private boolean hasSlot(Queued request) {
@@ -324,7 +365,7 @@
     double workNanos = workNanos(request, nowNanos);
     double atOnceNanos = slowdown.atOnceNanos(workNanos, nowNanos);
     return slowdown.slow(nowNanos)
-        ? Math.min(atOnceNanos, slowdown.laterNanos(workNanos))
+        ? Math.min(atOnceNanos, slowdown.laterNanos(workNanos, nowNanos))
         : atOnceNanos;
   }
 
@@ -354,7 +395,8 @@
     double factor = slowdown.expected(nowNanos);
     double work = workNanos(request, nowNanos);
     long endNanos = nowNanos + (long) (work * factor);
-    running.put(request.waiter(), new Running(work, request.guessNanos(), factor, endNanos));
+    boolean known = slowdown.fresh(nowNanos);
+    running.put(request.waiter(), new Running(work, request.guessNanos(), factor, known, endNanos));
   }
 
   private void enqueue(Queued request) {
@@ -402,8 +444,7 @@
       Running run = running.remove(waiter);
       if (heldNanos >= 0 && run != null) {
         serviceTimeNanos += SERVICE_TIME_WEIGHT * (heldNanos - serviceTimeNanos);
-        times.onServed(waiter.rule(), heldNanos / run.factor(), run.guessNanos(), nowNanos);
-        times.retainIfLarge(MAX_RULES);
+        learnWork(waiter.rule(), run, heldNanos, nowNanos);
         advice.onServed(nowNanos);
       }
       admitNext(nowNanos, notices);
@@ -411,6 +452,14 @@
     notices.deliver();
   }
 
+  // A target that tells its speed, but had not when the work began, may have been slow then.
+  private void learnWork(RuleName rule, Running run, long heldNanos, long nowNanos) {
+    if (run.factorKnown() || speedProbe.isEmpty() || !slowdown.told()) {
+      times.onServed(rule, heldNanos / run.factor(), run.guessNanos(), nowNanos);
+      times.retainIfLarge(MAX_RULES);
+    }
+  }
+
   private void admitNext(long nowNanos, Notices notices) {
     refuseHopeless(nowNanos, notices);
     Optional<Queued> next = next(nowNanos);
@@ -426,7 +475,7 @@
   private void refuseHopeless(long nowNanos, Notices notices) {
     for (Queued queued : List.copyOf(queue)) {
       Waiter waiter = queued.waiter();
-      double endNanos = nowNanos + workNanos(queued, nowNanos);
+      double endNanos = nowNanos + slowdown.atBestNanos(workNanos(queued, nowNanos), nowNanos);
       Optional<ResultCode> code = Optional.empty();
       if (waiter.deadlineNanos() <= nowNanos) {
         code = Optional.of(ResultCode.DEADLINE_BEFORE_START);
@@ -473,7 +522,26 @@
    * @param nowNanos the current time
    */
   public void onSpeedUnknown(long nowNanos) {
-    onSlowdown(1, nowNanos);
+    Notices notices = new Notices();
+    synchronized (this) {
+      slowdown.onUnknown(nowNanos);
+      admitNext(nowNanos, notices);
+    }
+    notices.deliver();
+  }
+
+  /**
+   * Decides again on those that wait, as time alone may have changed what may start. Waiters call
+   * it now and then, so that none depends on a single event.
+   *
+   * @param nowNanos the current time
+   */
+  public void recheck(long nowNanos) {
+    Notices notices = new Notices();
+    synchronized (this) {
+      admitNext(nowNanos, notices);
+    }
+    notices.deliver();
   }
 
   /**
@@ -491,6 +559,18 @@
     notices.deliver();
   }
 
+  /**
+   * Takes in how much longer the target stays slow after its start.
+   *
+   * @param leftNanos the time in nanoseconds, 0 if it is warm
+   * @param nowNanos the current time
+   */
+  public synchronized void onCold(long leftNanos, long nowNanos) {
+    if (leftNanos > 0) {
+      slowdown.onCold(nowNanos + leftNanos);
+    }
+  }
+
   /**
    * Takes a waiter out of the queue.
    *
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetLife.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetLife.java
@@ -34,9 +34,17 @@
    * @param host the IP address it takes requests at
    * @param port the port it takes requests at
    * @param leaving whether it is about to stop
+   * @param coldLeftNanos how much longer it stays slow after its start, in nanoseconds; 0 if it is
+   *     warm or does not tell
    */
   public record Report(
-      TargetRun run, long sequence, Serving serving, String host, int port, boolean leaving) {}
+      TargetRun run,
+      long sequence,
+      Serving serving,
+      String host,
+      int port,
+      boolean leaving,
+      long coldLeftNanos) {}
 
   /** What a report has changed. */
   public enum Change {
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -73,10 +73,14 @@
   }
 
   private void learn(RuleName rule, long workMillis) {
+    learn(rule, workMillis, 0);
+  }
+
+  private void learn(RuleName rule, long workMillis, long now) {
     for (int i = 0; i < 20; i++) {
-      Request request = new Request(rule, Priority.NORMAL, 0, 1_000 * MILLI, 0);
-      assertInstanceOf(Decision.Admitted.class, admission.offer(request, 0));
-      admission.release(request, workMillis * MILLI, 0);
+      Request request = new Request(rule, Priority.NORMAL, now, 1_000 * MILLI, 0);
+      assertInstanceOf(Decision.Admitted.class, admission.offer(request, now));
+      admission.release(request, workMillis * MILLI, now);
     }
   }
 
@@ -131,6 +135,7 @@
 
     {
       learn(PAGES, 160);
+      learn(UPLOADS, 20);
       admission.probeSpeedBy(() -> asked++);
     }
 
@@ -163,7 +168,6 @@
 
     @Test
     void shortWorkThatIsInTimeAllTheSameStarts() {
-      learn(UPLOADS, 20);
       admission.onSlowdown(4, 0);
 
       Request small = new Request(UPLOADS, Priority.NORMAL, 0, 150 * MILLI, 100);
@@ -185,6 +189,110 @@
     }
   }
 
+  /** Everything lost power at once: the target is cold, and nothing is known of it. */
+  @Nested
+  class WhenTheTargetHasJustStarted {
+
+    private static final long COLD_LEFT = 3_000 * MILLI;
+    private int asked;
+
+    {
+      admission.probeSpeedBy(() -> asked++);
+      admission.onCold(COLD_LEFT, 0);
+    }
+
+    @Test
+    void theSpeedIsAskedForBeforeTheFirstWork() {
+      Request page = Request.page(0);
+
+      assertInstanceOf(Decision.Queued.class, admission.offer(page, 0));
+      assertEquals(1, asked);
+      admission.onSlowdown(2, 2 * MILLI);
+
+      assertInstanceOf(Decision.Admitted.class, page.told.getFirst());
+    }
+
+    @Test
+    void aColdTargetIsNotTakenForOneInASlowPhase() {
+      admission.onSlowdown(2, 0);
+
+      assertInstanceOf(Decision.Admitted.class, admission.offer(Request.page(0), 0));
+    }
+
+    @Test
+    void aPhaseIsWaitedOutBeyondTheColdSpeed() {
+      admission.onSlowdown(2, 0);
+      admission.onSlowdown(8, 60 * MILLI);
+      Request page = Request.page(60 * MILLI);
+
+      assertInstanceOf(Decision.Queued.class, admission.offer(page, 60 * MILLI));
+      admission.onSlowdown(2, 110 * MILLI);
+
+      assertInstanceOf(Decision.Admitted.class, page.told.getFirst());
+    }
+
+    @Test
+    void soonIsMeasuredByWhatAColdTargetCanDo() {
+      admission.onSlowdown(2, 0);
+      Request page = new Request(PAGES, Priority.BROWSE, 0, 500 * MILLI, 30);
+
+      assertInstanceOf(Decision.Admitted.class, admission.offer(page, 0));
+    }
+
+    @Test
+    void workAtAnUnknownSpeedTeachesNothing() {
+      Request first = Request.page(0);
+      admission.offer(first, 0);
+      admission.onSpeedUnknown(MILLI);
+      assertInstanceOf(Decision.Admitted.class, first.told.getFirst());
+
+      admission.onSlowdown(8, 900 * MILLI);
+      admission.release(first, 900 * MILLI, 900 * MILLI);
+      admission.onSlowdown(2, 1_000 * MILLI);
+
+      Request page = Request.page(1_000 * MILLI);
+      assertInstanceOf(Decision.Admitted.class, admission.offer(page, 1_000 * MILLI));
+    }
+
+    @Test
+    void aQuestionThatIsNeverAnsweredHoldsNobodyForLong() {
+      Request page = Request.page(0);
+      admission.offer(page, 0);
+
+      admission.recheck(60 * MILLI);
+      assertEquals(List.of(), page.told);
+      admission.recheck(Admission.SPEED_WAIT_NANOS);
+
+      assertInstanceOf(Decision.Admitted.class, page.told.getFirst());
+    }
+
+    @Test
+    void aRefusalForAnOldReportAsksForANewOne() {
+      admission.onSlowdown(8, 0);
+      assertInstanceOf(
+          Decision.Refused.class, admission.offer(Request.page(80 * MILLI), 80 * MILLI));
+      assertEquals(1, asked);
+
+      admission.onSlowdown(2, 82 * MILLI);
+
+      assertInstanceOf(
+          Decision.Admitted.class, admission.offer(Request.page(90 * MILLI), 90 * MILLI));
+    }
+
+    @Test
+    void whatAColdTargetReportedSaysNothingOfAWarmOne() {
+      admission.onSlowdown(2, 0);
+      admission.onSlowdown(2, COLD_LEFT - 100 * MILLI);
+      learn(PAGES, 160, COLD_LEFT - 100 * MILLI);
+
+      Request tight = new Request(PAGES, Priority.BROWSE, COLD_LEFT, 200 * MILLI, 100);
+      admission.offer(tight, COLD_LEFT);
+      admission.onSlowdown(1, COLD_LEFT + MILLI);
+
+      assertInstanceOf(Decision.Admitted.class, tight.told.getFirst());
+    }
+  }
+
   @Nested
   class WhenRunningRequestsNeedOthers {
 
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetLifeTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetLifeTests.java
@@ -21,7 +21,7 @@
 
   private static Report report(TargetRun run, long sequence, boolean leaving) {
     Serving serving = new Serving(new ServiceName("lending"), 6);
-    return new Report(run, sequence, serving, "127.0.0.1", 8000, leaving);
+    return new Report(run, sequence, serving, "127.0.0.1", 8000, leaving, 0);
   }
 
   private boolean ready(TargetRun run, long nowNanos) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -33,6 +33,8 @@
   /** Share of the objective that the first request of a rule is expected to take. */
   private static final double FIRST_WORK_SHARE = 0.3;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final TargetLife life;
   private final TargetHealth health;
   private final TargetSide targetSide;
@@ -98,10 +100,15 @@
                   + report.serving().service()
                   + " leaving="
                   + report.leaving()
+                  + " cold-left-ms="
+                  + report.coldLeftNanos() / NANOS_PER_MILLI
                   + " change="
                   + change);
     }
     refresh();
+    if (change == TargetLife.Change.READY || change == TargetLife.Change.NONE) {
+      targetSide.onCold(report.coldLeftNanos());
+    }
     if (change == TargetLife.Change.LEAVING) {
       directory.keepLeft(report.run());
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -8,6 +8,7 @@
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.RuleName;
+import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.Admission.Decision;
 
@@ -69,15 +70,20 @@
     decision.complete(refusal);
   }
 
-  /** Waits until the decision falls or the deadline passes. */
-  Decision await(Admission admission, long nowNanos) throws InterruptedException {
-    try {
-      return decision.get(Math.max(0, request.deadlineNanos() - nowNanos), TimeUnit.NANOSECONDS);
-    } catch (TimeoutException e) {
-      return giveUp(admission, ResultCode.DEADLINE_BEFORE_START);
-    } catch (ExecutionException e) {
-      throw new IllegalStateException("decisions are never exceptions", e);
+  /** Waits until the decision falls or the deadline passes, and has it checked again meanwhile. */
+  Decision await(Admission admission, TimeSource time) throws InterruptedException {
+    long leftNanos = request.deadlineNanos() - time.nanos();
+    while (leftNanos > 0) {
+      try {
+        return decision.get(Math.min(leftNanos, Admission.SPEED_WAIT_NANOS), TimeUnit.NANOSECONDS);
+      } catch (TimeoutException e) {
+        admission.recheck(time.nanos());
+      } catch (ExecutionException e) {
+        throw new IllegalStateException("decisions are never exceptions", e);
+      }
+      leftNanos = request.deadlineNanos() - time.nanos();
     }
+    return giveUp(admission, ResultCode.DEADLINE_BEFORE_START);
   }
 
   /** Leaves the queue; if a decision fell at the same time, that one counts. */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -18,7 +18,7 @@
  */
 final class TargetConnection extends DefaultBHttpClientConnection {
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Socket socket;
   private final Endpoint address;
@@ -31,11 +31,11 @@
     this.address = address;
   }
 
-  static TargetConnection open(Endpoint address) throws IOException {
+  static TargetConnection open(Endpoint address, long connectNanos) throws IOException {
     Socket socket = new Socket();
     try {
       socket.setTcpNoDelay(true);
-      socket.connect(address.socketAddress(), CONNECT_TIMEOUT_MILLIS);
+      socket.connect(address.socketAddress(), (int) Math.max(1, connectNanos / NANOS_PER_MILLI));
       TargetConnection connection = new TargetConnection(socket, address);
       connection.bind(socket);
       return connection;
@@ -67,7 +67,7 @@
   }
 
   void setTimeoutNanos(long nanos) {
-    setSocketTimeout(Timeout.ofMilliseconds(Math.max(1, nanos / 1_000_000)));
+    setSocketTimeout(Timeout.ofMilliseconds(Math.max(1, nanos / NANOS_PER_MILLI)));
   }
 
   void idleSince(long nanos) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
@@ -39,7 +39,15 @@
     this.time = time;
   }
 
-  TargetConnection acquire(Endpoint address, boolean repeatable) throws IOException {
+  /**
+   * Takes an idle connection or opens one.
+   *
+   * @param address the target's address
+   * @param repeatable whether what it is for may be sent again if the target closes it
+   * @param connectNanos longest time to open one, in nanoseconds
+   */
+  TargetConnection acquire(Endpoint address, boolean repeatable, long connectNanos)
+      throws IOException {
     long maxIdleNanos =
         repeatable ? idleNanos : Math.min(idleNanos, MAX_IDLE_FOR_UNREPEATABLE_NANOS);
     TargetConnection connection = idle.pollFirst();
@@ -51,7 +59,7 @@
       connection.abort();
       connection = idle.pollFirst();
     }
-    return TargetConnection.open(address);
+    return TargetConnection.open(address, connectNanos);
   }
 
   void release(TargetConnection connection) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -30,7 +30,10 @@
   /** Questions that may come at once beyond that. */
   private static final int BURST = 20;
 
-  /** Time to answer, in nanoseconds: a target answers at once whatever its load. */
+  /**
+   * Time to connect, and as long again to answer, in nanoseconds: a target answers at once whatever
+   * its load.
+   */
   private static final long TIMEOUT_NANOS = 60_000_000L;
 
   /** Time between two questions while a slow phase is waited out, in milliseconds. */
@@ -123,7 +126,7 @@
   }
 
   private OptionalDouble exchange(Question where) throws IOException, HttpException {
-    TargetConnection connection = connections.acquire(where.address(), true);
+    TargetConnection connection = connections.acquire(where.address(), true, TIMEOUT_NANOS);
     boolean whole = false;
     try {
       connection.setTimeoutNanos(TIMEOUT_NANOS);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -37,6 +37,13 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /**
+   * Longest time to connect to the target, in nanoseconds: it is on this machine, and a lost
+   * opening packet is sent again only after a second, by which time the request is better served
+   * elsewhere.
+   */
+  private static final long CONNECT_NANOS = 250_000_000L;
+
   private final Admission admission;
   private final KeyLedger<StoredAnswer> keys;
   private final AtomicReference<HomeDuty> duty;
@@ -188,7 +195,7 @@
   private Decision awaitSlot(InboundCall call, SlotWaiter waiter) {
     call.onCancel(() -> waiter.giveUp(admission, ResultCode.CANCELLED));
     try {
-      return waiter.await(admission, time.nanos());
+      return waiter.await(admission, time);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return waiter.giveUp(admission, ResultCode.CANCELLED);
@@ -205,7 +212,8 @@
     }
     TargetConnection connection;
     try {
-      connection = connections.acquire(target.get().address(), request.idempotent());
+      connection =
+          connections.acquire(target.get().address(), request.idempotent(), connectNanos(request));
     } catch (IOException e) {
       gate.onRefused(time.nanos());
       return giveBack(
@@ -235,6 +243,10 @@
     return exchange.run();
   }
 
+  private long connectNanos(CallRequest request) {
+    return Math.min(CONNECT_NANOS, request.deadlineNanos() - time.nanos());
+  }
+
   private Outcome<CallResponse> refuse(CallRequest request, ResultCode code, long retryMillis) {
     metrics.targetRefusal(code);
     log.failure(
@@ -370,6 +382,15 @@
     admission.open(limits);
   }
 
+  /**
+   * Takes in how much longer the target stays slow after its start.
+   *
+   * @param leftNanos the time in nanoseconds, 0 if it is warm
+   */
+  public void onCold(long leftNanos) {
+    admission.onCold(leftNanos, time.nanos());
+  }
+
   /** {@return how many requests are in progress, answers still being read included} */
   public int running() {
     return running.get();
