Acknowledge a target's first report as soon as the configuration is known

Load pattern: all power lost.

Change: a report waits up to 0.8 s for the first configuration; the target waits a second for its acknowledgement.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigHolder.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigHolder.java
@@ -1,17 +1,21 @@
 package org.amaranthmoor.daemon.mesh;
 
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Holds the configuration in force.
  *
- * <p>Invariant: its version only rises. Safe for use by several threads; lock-free.
+ * <p>Invariant: its version only rises. Safe for use by several threads; lock-free but for {@link
+ * #awaitFirst}.
  */
 final class ConfigHolder {
 
   private final AtomicReference<Optional<RoutingConfig>> current =
       new AtomicReference<>(Optional.empty());
+  private final CountDownLatch first = new CountDownLatch(1);
 
   /** {@return the configuration in force, or empty before the first} */
   Optional<RoutingConfig> current() {
@@ -23,6 +27,21 @@
     return current.get().map(RoutingConfig::version).orElse(-1L);
   }
 
+  /**
+   * Waits until there is a configuration, as in the first moments of a process.
+   *
+   * @param mostMillis longest wait, in milliseconds
+   * @return whether there is one
+   */
+  boolean awaitFirst(long mostMillis) {
+    try {
+      return first.await(mostMillis, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return current().isPresent();
+    }
+  }
+
   /** Puts a configuration in force unless a version as new is, and returns whether it did. */
   boolean advance(RoutingConfig config) {
     while (true) {
@@ -31,6 +50,7 @@
         return false;
       }
       if (current.compareAndSet(before, Optional.of(config))) {
+        first.countDown();
         return true;
       }
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -84,6 +84,12 @@
 
   private static final long POLL_MILLIS = 20;
 
+  /**
+   * Longest time that a target's report waits for this node's first configuration, in milliseconds:
+   * the target waits a second for its acknowledgement.
+   */
+  private static final long FIRST_CONFIG_MILLIS = 800;
+
   /** Connections to the target that are kept idle at most. */
   private static final int MAX_IDLE_CONNECTIONS = 32;
 
@@ -313,7 +319,10 @@
     return !stopping && views.current().isPresent();
   }
 
+  // A target reports at once when it has started, which after a loss of power is before this node
+  // has its configuration; one that is turned away comes back only a good while later.
   private boolean isKnown(ServiceName service) {
+    config.awaitFirst(FIRST_CONFIG_MILLIS);
     return config.current().map(held -> held.services().containsKey(service)).orElse(false);
   }
 
