Let a few watchers of each zone read the configuration, and pass it on in the zone

Load pattern: hundreds of nodes that each wake for each of many versions, and that each try a store that is away.

Ways weighed: a pause after each change at every node (half of the calls stay); longer waits (a version would be late when gossip fails).

Change: ConfigWatch, without I/O. The first three nodes of a zone by rendezvous read; they tell their zone at once of a version and every half second that the store answers them. A node that has heard none for 1.3 s, or was not given a version that it was told of, reads for itself, whatever it believes of members. A watcher whose store does not answer falls silent. Pauses after failures double up to 1.2 s, and are 2.5 s while a neighbour reaches the store. Documents travel compressed. A restarted node reads once for itself, which is the fastest way to its first request.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -288,6 +288,20 @@
         .toList();
   }
 
+  /**
+   * Creates messages that state this node's configuration to all members of its availability zone.
+   *
+   * @param readsSource whether this node reads it from its source, which answers
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> configSigns(boolean readsSource) {
+    Gossip sign = message(Gossip.Kind.ACK).setReadsSource(readsSource).build();
+    return nearestFirst().stream()
+        .filter(member -> member.zone().equals(self.zone()))
+        .map(member -> to(member, sign))
+        .toList();
+  }
+
   private List<Member> nearestFirst() {
     List<Member> others = new ArrayList<>();
     for (Known known : members.values()) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -182,7 +182,7 @@
             settings.nodePort(),
             group,
             membership,
-            this::onPeerOffset,
+            (node, offset, readsSource) -> onPeerOffset(offset),
             metrics,
             time);
     this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
@@ -315,7 +315,7 @@
     duty.get().onLogRead(startedNanos);
   }
 
-  private void onPeerOffset(String node, long offset) {
+  private void onPeerOffset(long offset) {
     if (offset > holder.current().offset() && !follower.available()) {
       executor.execute(this::readStateFromPeer);
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
@@ -3,10 +3,13 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.ConfigWatch;
 import org.amaranthmoor.yaml.Parsed;
 
 /**
- * Follows the operator's configuration on a thread of its own.
+ * Follows the operator's configuration on a thread of its own, as long as the watch says that this
+ * node reads it.
  *
  * <p>Safe for use by several threads.
  */
@@ -18,15 +21,18 @@
    */
   private static final long PAUSE_AFTER_CHANGE_MILLIS = 250;
 
-  /** Least pause after a failure, in milliseconds; the pause is up to twice as long. */
-  private static final long PAUSE_AFTER_FAILURE_MILLIS = 300;
+  /** Time between two looks at the watch while others read, in milliseconds. */
+  private static final long LOOK_MILLIS = 100;
 
   private final ConfigFeed feed;
   private final Consumer<RoutingConfig> listener;
+  private final ConfigWatch watch;
+  private final TimeSource time;
   private final EventLog log;
   private final Thread thread;
   private volatile boolean available;
   private volatile boolean closed;
+  private boolean reading = true;
   private long position = ConfigFeed.START;
 
   /**
@@ -34,11 +40,20 @@
    *
    * @param feed where configurations come from
    * @param listener takes each configuration
+   * @param watch says whether this node reads
+   * @param time the time
    * @param log told of changes and failures
    */
-  ConfigFollower(ConfigFeed feed, Consumer<RoutingConfig> listener, EventLog log) {
+  ConfigFollower(
+      ConfigFeed feed,
+      Consumer<RoutingConfig> listener,
+      ConfigWatch watch,
+      TimeSource time,
+      EventLog log) {
     this.feed = feed;
     this.listener = listener;
+    this.watch = watch;
+    this.time = time;
     this.log = log;
     this.thread = Thread.ofVirtual().name("config-follower").unstarted(this::run);
   }
@@ -55,7 +70,11 @@
   private void run() {
     while (!closed) {
       try {
-        step();
+        if (reads()) {
+          step();
+        } else {
+          Thread.sleep(LOOK_MILLIS);
+        }
       } catch (InterruptedException e) {
         return;
       } catch (RuntimeException e) {
@@ -64,27 +83,42 @@
     }
   }
 
+  // A node that has read nothing yet reads, because after its start it is the fastest way.
+  private boolean reads() {
+    boolean now = position == ConfigFeed.START || watch.reads(time.nanos());
+    if (now != reading) {
+      reading = now;
+      log.info("config-reading", () -> "reads=" + now + " position=" + position);
+    }
+    return now;
+  }
+
   private void step() throws InterruptedException {
     switch (feed.next(position)) {
       case ConfigFeed.Reading.Document read -> {
         setAvailable(true, "");
+        watch.onAnswer();
         position = read.position();
         take(read.document());
         Thread.sleep(PAUSE_AFTER_CHANGE_MILLIS);
       }
       case ConfigFeed.Reading.Nothing nothing -> {
         setAvailable(true, "");
+        watch.onAnswer();
         position = nothing.position();
       }
       case ConfigFeed.Reading.Unavailable unavailable -> {
         setAvailable(false, unavailable.detail());
-        Thread.sleep(
-            PAUSE_AFTER_FAILURE_MILLIS
-                + ThreadLocalRandom.current().nextLong(PAUSE_AFTER_FAILURE_MILLIS));
+        pause(watch.onFailure(time.nanos()));
       }
     }
   }
 
+  // Twice as long at most, so that nodes that failed together do not try again together.
+  private static void pause(long leastMillis) throws InterruptedException {
+    Thread.sleep(leastMillis + ThreadLocalRandom.current().nextLong(leastMillis));
+  }
+
   private void take(byte[] document) {
     switch (feed.decode(document)) {
       case Parsed.Valid<RoutingConfig> valid -> listener.accept(valid.value());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -36,9 +36,11 @@
 import org.amaranthmoor.daemon.target.TargetProbe;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.ConfigWatch;
 import org.amaranthmoor.node.GossipTimings;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.MemberChanges;
@@ -105,6 +107,7 @@
   private final NodeIdentity identity;
   private final NodeMetrics metrics = new NodeMetrics();
   private final ConfigHolder config = new ConfigHolder();
+  private final ConfigWatch watch;
   private final Membership membership;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -160,6 +163,7 @@
     this.membership =
         new Membership(
             self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
+    this.watch = new ConfigWatch(settings.node());
     this.life = new TargetLife(settings.firstStart());
     TargetHealth health = new TargetHealth();
     this.targetSide = createTargetSide(health, targetDialect);
@@ -188,9 +192,10 @@
             this::spreadOwnState,
             time,
             log);
-    this.follower = new ConfigFollower(feed, found -> take(found, "feed"), log);
+    this.follower = new ConfigFollower(feed, this::takeFromFeed, watch, time, log);
     this.peerConfigs =
-        new PeerConfigReader(membership, links, config, feed, found -> take(found, "peer"), log);
+        new PeerConfigReader(
+            settings.zone(), membership, links, config, feed, this::takeFromPeer, watch, log);
     this.peerServer =
         new PeerServer(
             settings.nodes().host(),
@@ -209,7 +214,7 @@
             settings.nodes().port(),
             group,
             membership,
-            this::onPeerVersion,
+            this::onPeerConfig,
             metrics,
             time);
     this.nextFindNanos = time.nanos();
@@ -270,6 +275,14 @@
         .orElse(false);
   }
 
+  private boolean isNear(String node) {
+    return Names.isName(node)
+        && membership
+            .member(new NodeName(node))
+            .filter(member -> member.zone().equals(settings.zone()))
+            .isPresent();
+  }
+
   private int burstFor(int members) {
     int nodes = Math.max(LEAST_NODES, members);
     return (int) Math.max(1, settings.retrySlack() * SPENT_SLACK_SHARE / nodes);
@@ -337,8 +350,30 @@
     gossip.send(membership.introductions());
   }
 
-  private void take(RoutingConfig found, String source) {
-    if (config.advance(found)) {
+  private void takeFromFeed(RoutingConfig found) {
+    if (take(found, "feed")) {
+      tellZone(true);
+    }
+  }
+
+  // What came from another zone may be news to the whole own zone.
+  private void takeFromPeer(RoutingConfig found, Member peer) {
+    boolean near = peer.zone().equals(settings.zone());
+    if (take(found, peer.node().value()) && !near) {
+      gossip.send(membership.configSigns(false));
+    }
+  }
+
+  private void tellZone(boolean news) {
+    if (watch.tells(follower.available(), news, time.nanos())) {
+      gossip.send(membership.configSigns(true));
+    }
+  }
+
+  // Returns whether the configuration is news.
+  private boolean take(RoutingConfig found, String source) {
+    boolean news = config.advance(found);
+    if (news) {
       membership.setConfigOffset(found.version());
       rebuildViews();
       log.info(
@@ -353,6 +388,7 @@
                   + " services="
                   + found.services().size());
     }
+    return news;
   }
 
   private synchronized void rebuildViews() {
@@ -361,7 +397,10 @@
         .ifPresent(held -> views.rebuild(new MeshDeployment(held, membership, registry.serving())));
   }
 
-  private void onPeerVersion(String node, long version) {
+  private void onPeerConfig(String node, long version, boolean readsSource) {
+    if (readsSource && isNear(node)) {
+      watch.onSign(time.nanos());
+    }
     if (version > config.version()) {
       executor.execute(() -> tasks.run(() -> peerConfigs.readLater(node, version)));
     }
@@ -374,6 +413,7 @@
 
   private void tick() {
     tasks.run(gossip::tick);
+    tasks.run(() -> tellZone(false));
     tasks.run(registry::refresh);
     tasks.run(this::renewIfOvertaken);
     tasks.run(
@@ -405,6 +445,11 @@
       shownViewHash = viewHash;
       List<Member> members = membership.members();
       retryBurst = burstFor(members.size());
+      watch.onZone(
+          members.stream()
+              .filter(member -> member.reachable() && member.zone().equals(settings.zone()))
+              .map(Member::node)
+              .toList());
       logChanges(members);
       rebuildViews();
       links.closeGone(membership);
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/PackedDocument.java
@@ -0,0 +1,64 @@
+package org.amaranthmoor.daemon.mesh;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/**
+ * The form in which nodes pass a configuration's document on: compressed, because a watcher passes
+ * it to its whole availability zone at once.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class PackedDocument {
+
+  /** Largest document that is unpacked, in bytes: a bound on the memory that a peer can cost. */
+  private static final int MAX_BYTES = 8 * 1024 * 1024;
+
+  private static final int CHUNK_BYTES = 8 * 1024;
+
+  private PackedDocument() {}
+
+  /** {@return the packed form of a document} */
+  static byte[] pack(byte[] document) {
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    try {
+      deflater.setInput(document);
+      deflater.finish();
+      ByteArrayOutputStream packed = new ByteArrayOutputStream(CHUNK_BYTES);
+      byte[] chunk = new byte[CHUNK_BYTES];
+      while (!deflater.finished()) {
+        packed.write(chunk, 0, deflater.deflate(chunk));
+      }
+      return packed.toByteArray();
+    } finally {
+      deflater.end();
+    }
+  }
+
+  /** {@return the document of a packed form, or empty if that is damaged or too large} */
+  static Optional<byte[]> unpack(byte[] packed) {
+    Inflater inflater = new Inflater();
+    try {
+      inflater.setInput(packed);
+      ByteArrayOutputStream document = new ByteArrayOutputStream(CHUNK_BYTES);
+      byte[] chunk = new byte[CHUNK_BYTES];
+      while (!inflater.finished()) {
+        int count = inflater.inflate(chunk);
+        boolean cut = count == 0 && !inflater.finished();
+        if (cut || document.size() + count > MAX_BYTES) {
+          return Optional.empty();
+        }
+        document.write(chunk, 0, count);
+      }
+      return Optional.of(document.toByteArray());
+    } catch (DataFormatException e) {
+      // The caller logs that the peer did not pass the document on.
+      return Optional.empty();
+    } finally {
+      inflater.end();
+    }
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -26,19 +26,20 @@
  */
 public final class GossipSocket implements AutoCloseable {
 
-  /** Is told which offset another node has reached. */
-  public interface OffsetListener {
+  /** Is told what other nodes say of their configuration. */
+  public interface ConfigListener {
     /**
      * A node stated the offset of its configuration.
      *
      * @param node the node, as it names itself
      * @param offset the offset
+     * @param readsSource whether it reads configurations from their source, which answers it
      */
-    void onPeerOffset(String node, long offset);
+    void onPeerConfig(String node, long offset, boolean readsSource);
   }
 
   private final Membership membership;
-  private final OffsetListener offsetListener;
+  private final ConfigListener configListener;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final Channel channel;
@@ -50,7 +51,7 @@
    * @param port the port to listen at
    * @param group event loops of the channel
    * @param membership takes messages and decides what to send
-   * @param offsetListener is told which offsets other nodes have reached
+   * @param configListener is told what other nodes say of their configuration
    * @param metrics counts bytes
    * @param time the time
    */
@@ -59,11 +60,11 @@
       int port,
       EventLoopGroup group,
       Membership membership,
-      OffsetListener offsetListener,
+      ConfigListener configListener,
       NodeMetrics metrics,
       TimeSource time) {
     this.membership = membership;
-    this.offsetListener = offsetListener;
+    this.configListener = configListener;
     this.metrics = metrics;
     this.time = time;
     this.channel =
@@ -110,7 +111,8 @@
         Gossip gossip = Gossip.parseFrom(bytes);
         send(membership.receive(gossip, time.nanos()));
         introduceToUnknown(gossip.getSender(), packet.sender());
-        offsetListener.onPeerOffset(gossip.getSender(), gossip.getConfigOffset());
+        configListener.onPeerConfig(
+            gossip.getSender(), gossip.getConfigOffset(), gossip.getReadsSource());
       } catch (InvalidProtocolBufferException e) {
         metrics.lateFrame();
       }
