Announce what a node serves to its whole availability zone

Load pattern: a mass restart in zones of 19 nodes. Cause: a change of a node's state went to 12 members at once, and to the rest of the zone by gossip, one to two seconds later; requests ask the own zone first.

Change: up to 40 members of the own zone, and 16 of others. Tests count whom announcements reach.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -37,8 +37,14 @@
   /** Members that a node introduces itself to at once. */
   private static final int INTRODUCTIONS = 4;
 
-  /** Members that a change of this node's own state is sent to at once. */
-  private static final int ANNOUNCEMENTS = 12;
+  /**
+   * Members of the own availability zone that a change of this node's own state is sent to at once:
+   * a request asks there first, and after a mass restart nobody else knows of this node's target.
+   */
+  private static final int NEAR_ANNOUNCEMENTS = 40;
+
+  /** Members of other availability zones that such a change is sent to at once. */
+  private static final int FAR_ANNOUNCEMENTS = 16;
 
   /** Time between two tries to reach a member that counts as dead, in nanoseconds. */
   private static final long RETRY_DEAD_NANOS = 1_500_000_000L;
@@ -282,12 +288,20 @@
    * @return messages to send
    */
   public synchronized List<Outgoing> announcements() {
-    return nearestFirst().stream()
-        .limit(ANNOUNCEMENTS)
-        .map(member -> to(member, message(Gossip.Kind.ACK).addStates(self.toMessage()).build()))
+    Gossip state = message(Gossip.Kind.ACK).addStates(self.toMessage()).build();
+    List<Member> others = nearestFirst();
+    long near = others.stream().filter(this::isNear).count();
+    return others.stream()
+        .skip(Math.max(0, near - NEAR_ANNOUNCEMENTS))
+        .limit(Math.min(near, NEAR_ANNOUNCEMENTS) + FAR_ANNOUNCEMENTS)
+        .map(member -> to(member, state))
         .toList();
   }
 
+  private boolean isNear(Member member) {
+    return member.zone().equals(self.zone());
+  }
+
   /**
    * Creates messages that state this node's configuration to all members of its availability zone.
    *
@@ -296,10 +310,7 @@
    */
   public synchronized List<Outgoing> configSigns(boolean readsSource) {
     Gossip sign = message(Gossip.Kind.ACK).setReadsSource(readsSource).build();
-    return nearestFirst().stream()
-        .filter(member -> member.zone().equals(self.zone()))
-        .map(member -> to(member, sign))
-        .toList();
+    return nearestFirst().stream().filter(this::isNear).map(member -> to(member, sign)).toList();
   }
 
   private List<Member> nearestFirst() {
@@ -310,7 +321,7 @@
       }
     }
     Collections.shuffle(others, new Random(random.nextLong()));
-    others.sort(Comparator.comparing(member -> !member.zone().equals(self.zone())));
+    others.sort(Comparator.comparing(member -> !isNear(member)));
     return others;
   }
 
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class MembershipTests {
@@ -234,6 +235,59 @@
     }
   }
 
+  /** After a mass restart only announcements tell the zone which targets are open. */
+  @Nested
+  class Announcements {
+
+    private Membership with(int near, int far) {
+      Membership node = new Membership(member(0, "r"), GossipTimings.standard(), random.split(), 0);
+      for (int i = 1; i <= near; i++) {
+        node.learn(member(i, "r"));
+      }
+      for (int i = 1; i <= far; i++) {
+        node.learn(inZone("far", near + i));
+      }
+      return node;
+    }
+
+    private static Member inZone(String zone, int number) {
+      return new Member(
+          new NodeName("n" + number),
+          new Incarnation(1),
+          Liveness.ALIVE,
+          "127.0.0.1",
+          1,
+          new ZoneName(zone),
+          new RegionName("r"),
+          false,
+          0);
+    }
+
+    private static long nearOnes(List<Membership.Outgoing> messages, int near) {
+      return messages.stream()
+          .filter(message -> Integer.parseInt(message.to().value().substring(1)) <= near)
+          .count();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"18, 76, 18, 16", "4, 8, 4, 8", "60, 30, 40, 16", "0, 5, 0, 5", "3, 0, 3, 0"})
+    void reachTheWholeZoneAndSomeOthers(int near, int far, int toldNear, int toldFar) {
+      List<Membership.Outgoing> messages = with(near, far).announcements();
+
+      assertEquals(toldNear, nearOnes(messages, near));
+      assertEquals(toldFar, messages.size() - nearOnes(messages, near));
+    }
+
+    @Test
+    void signsOfTheConfigurationStayInTheZone() {
+      List<Membership.Outgoing> messages = with(18, 76).configSigns(true);
+
+      assertEquals(18, messages.size());
+      assertEquals(18, nearOnes(messages, 18));
+      assertTrue(messages.stream().allMatch(message -> message.message().getReadsSource()));
+    }
+  }
+
   @Nested
   class States {
 
