--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Dissemination.java
@@ -15,26 +15,42 @@
  */
 final class Dissemination {
 
-  private static final int FACTOR = 2;
+  private static final int NEAR_FACTOR = 2;
 
-  private final Map<NodeName, Integer> sent = new HashMap<>();
+  /**
+   * Messages to other availability zones that carry a state, at each node: the nodes of a zone have
+   * it from each other, so that together these few are many.
+   */
+  private static final int FAR_TIMES = 3;
+
+  private final Map<NodeName, Integer> near = new HashMap<>();
+  private final Map<NodeName, Integer> far = new HashMap<>();
 
   /** Starts spreading the state of a member anew. */
   void add(NodeName node) {
-    sent.put(node, 0);
+    near.put(node, 0);
+    far.put(node, 0);
   }
 
   /**
    * Counts some states as sent and returns their members, whose states ride on the next message.
+   *
+   * @param isNear whether the message stays in the own availability zone
+   * @param limit most states
+   * @param members members known
    */
-  List<NodeName> next(int limit, int members) {
+  List<NodeName> next(boolean isNear, int limit, int members) {
+    int magnitude = 1 + Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, members));
+    return isNear ? next(near, NEAR_FACTOR * magnitude, limit) : next(far, FAR_TIMES, limit);
+  }
+
+  private static List<NodeName> next(Map<NodeName, Integer> sent, int times, int limit) {
     if (sent.isEmpty()) {
       return List.of();
     }
     List<NodeName> chosen = new ArrayList<>(sent.keySet());
     chosen.sort(Comparator.comparing((NodeName node) -> sent.get(node)));
     List<NodeName> rides = new ArrayList<>(chosen.subList(0, Math.min(limit, chosen.size())));
-    int times = FACTOR * (1 + Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, members)));
     for (NodeName node : rides) {
       int count = sent.merge(node, 1, Integer::sum);
       if (count >= times) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -21,8 +21,9 @@
 /**
  * Failure detection and spreading of member states among the nodes of one region.
  *
- * <p>Each period a node pings one member, in a shuffled order. If no ack comes, a few helpers ping
- * on its behalf; then the member is suspected, and declared dead unless it refutes by raising its
+ * <p>Each period a node pings one member, in a shuffled order: most times one of its own
+ * availability zone, because bytes between zones are dear. If no ack comes, a few helpers ping on
+ * its behalf; then the member is suspected, and declared dead unless it refutes by raising its
  * version. Changed states ride on the messages that flow anyway. Members of other regions are
  * ignored, so that losing a region marks none of its nodes dead.
  *
@@ -46,6 +47,9 @@
   /** Members of other availability zones that such a change is sent to at once. */
   private static final int FAR_ANNOUNCEMENTS = 16;
 
+  /** Of this many pings and syncs in a row one goes to another availability zone. */
+  private static final int FAR_TURN = 4;
+
   /** Time between two tries to reach a member that counts as dead, in nanoseconds. */
   private static final long RETRY_DEAD_NANOS = 1_500_000_000L;
 
@@ -83,12 +87,14 @@
   private final Map<Long, Long> helpedSinceNanos = new HashMap<>();
   private final Set<NodeName> suspected = new HashSet<>();
   private final Dissemination dissemination = new Dissemination();
-  private final List<NodeName> pingOrder = new ArrayList<>();
+  private final List<NodeName> nearPingOrder = new ArrayList<>();
+  private final List<NodeName> farPingOrder = new ArrayList<>();
   private Member self;
   private Optional<Incarnation> overtakenBy = Optional.empty();
   private long configOffset = -1;
   private long viewHash;
   private long nextSequence;
+  private int turn;
   private long nextPingNanos;
   private long nextSyncNanos;
   private long nextRetryNanos;
@@ -223,7 +229,8 @@
     if (nowNanos >= nextSyncNanos) {
       nextSyncNanos = nowNanos + timings.syncPeriodNanos();
       forgetGone(nowNanos);
-      randomReachable().ifPresent(member -> out.add(syncRequest(member.host(), member.port())));
+      randomReachable(!isFarTurn())
+          .ifPresent(member -> out.add(syncRequest(member.host(), member.port())));
     }
     if (nowNanos >= nextRetryNanos) {
       nextRetryNanos = nowNanos + RETRY_DEAD_NANOS;
@@ -437,7 +444,7 @@
   private void reply(NodeName sender, long sequence, List<Outgoing> out) {
     Known known = members.get(sender);
     if (known != null) {
-      Gossip.Builder ack = withRides(Gossip.Kind.ACK).setSequence(sequence);
+      Gossip.Builder ack = withRides(Gossip.Kind.ACK, known.member).setSequence(sequence);
       if (known.member.liveness() != Member.Liveness.ALIVE) {
         // Lets a member that was paused learn that it is believed gone, so that it refutes.
         ack.addStates(known.member.toMessage());
@@ -455,7 +462,8 @@
     if (pending.onBehalfOf().isPresent()) {
       Known asker = members.get(pending.onBehalfOf().get());
       if (asker != null) {
-        Gossip ack = withRides(Gossip.Kind.ACK).setSequence(pending.behalfSequence()).build();
+        Gossip ack =
+            withRides(Gossip.Kind.ACK, asker.member).setSequence(pending.behalfSequence()).build();
         out.add(to(asker.member, ack));
       }
     }
@@ -496,7 +504,7 @@
     long sequence = ++nextSequence;
     pendingPings.put(
         sequence, new PendingPing(member.node(), onBehalfOf, behalfSequence, nowNanos));
-    out.add(to(member, withRides(Gossip.Kind.PING).setSequence(sequence).build()));
+    out.add(to(member, withRides(Gossip.Kind.PING, member).setSequence(sequence).build()));
   }
 
   private void handleSilence(long nowNanos, List<Outgoing> out) {
@@ -517,10 +525,10 @@
     helpedPings.put(sequence, subject);
     helpedSinceNanos.put(sequence, nowNanos);
     for (int i = 0; i < timings.helpers(); i++) {
-      Optional<Member> helper = randomReachable();
+      Optional<Member> helper = randomReachable(true);
       if (helper.isPresent() && !helper.get().node().equals(subject)) {
         Gossip request =
-            withRides(Gossip.Kind.PING_REQUEST)
+            withRides(Gossip.Kind.PING_REQUEST, helper.get())
                 .setSequence(sequence)
                 .setSubject(subject.value())
                 .build();
@@ -569,42 +577,51 @@
     }
   }
 
+  private boolean isFarTurn() {
+    turn = (turn + 1) % FAR_TURN;
+    return turn == 0;
+  }
+
+  // Pings go to the other kind of members where there are none of the kind whose turn it is.
   private Optional<Member> nextToPing() {
-    while (true) {
-      if (pingOrder.isEmpty()) {
-        refillPingOrder();
-        if (pingOrder.isEmpty()) {
-          return Optional.empty();
-        }
-      }
-      Known known = members.get(pingOrder.removeLast());
+    boolean near = !isFarTurn();
+    return nextToPing(near).or(() -> nextToPing(!near));
+  }
+
+  private Optional<Member> nextToPing(boolean near) {
+    List<NodeName> order = near ? nearPingOrder : farPingOrder;
+    if (order.isEmpty()) {
+      refill(order, near);
+    }
+    while (!order.isEmpty()) {
+      Known known = members.get(order.removeLast());
       if (known != null && known.member.reachable()) {
         return Optional.of(known.member);
       }
     }
+    return Optional.empty();
   }
 
-  private void refillPingOrder() {
-    for (Known known : members.values()) {
-      if (known.member.reachable() && !known.member.node().equals(self.node())) {
-        pingOrder.add(known.member.node());
-      }
-    }
-    Collections.sort(pingOrder);
-    Collections.shuffle(pingOrder, new Random(random.nextLong()));
+  private void refill(List<NodeName> order, boolean near) {
+    others(near).forEach(member -> order.add(member.node()));
+    Collections.sort(order);
+    Collections.shuffle(order, new Random(random.nextLong()));
   }
 
-  private Optional<Member> randomReachable() {
-    List<NodeName> names = pingOrder.isEmpty() ? List.of() : pingOrder;
-    if (names.isEmpty()) {
-      refillPingOrder();
-      names = pingOrder;
-    }
-    if (names.isEmpty()) {
-      return Optional.empty();
-    }
-    Known known = members.get(names.get(random.nextInt(names.size())));
-    return Optional.ofNullable(known).map(k -> k.member).filter(Member::reachable);
+  private List<Member> others(boolean near) {
+    return members.values().stream()
+        .map(known -> known.member)
+        .filter(member -> member.reachable() && !member.node().equals(self.node()))
+        .filter(member -> isNear(member) == near)
+        .toList();
+  }
+
+  private Optional<Member> randomReachable(boolean near) {
+    List<Member> preferred = others(near);
+    List<Member> candidates = preferred.isEmpty() ? others(!near) : preferred;
+    return candidates.isEmpty()
+        ? Optional.empty()
+        : Optional.of(candidates.get(random.nextInt(candidates.size())));
   }
 
   private Gossip.Builder message(Gossip.Kind kind) {
@@ -614,9 +631,10 @@
         .setConfigOffset(configOffset);
   }
 
-  private Gossip.Builder withRides(Gossip.Kind kind) {
+  private Gossip.Builder withRides(Gossip.Kind kind, Member to) {
     Gossip.Builder builder = message(kind);
-    for (NodeName node : dissemination.next(timings.statesPerMessage(), members.size())) {
+    for (NodeName node :
+        dissemination.next(isNear(to), timings.statesPerMessage(), members.size())) {
       Known known = members.get(node);
       if (known != null) {
         builder.addStates(known.member.toMessage());
