Let no watcher wait for others that lost the source at the same moment

The store reset every waiting read at 2.2 s. Each node had heard its neighbours' signs a moment before, took itself for relieved, and paused 2.5 to 5 s; version 5, acknowledged at 1.133 s, came into force between 4.8 and 6.2 s.

Change: only a sign heard after the failure relieves a node, and the pause is judged anew at each look, so that it ends when the neighbours fall silent. Pauses double up to 0.8 s and vary by half.

Tests that failed before: nobodyWaitsForTheOthersIfAllLoseItAtOnce, aWatcherTriesAgainSoonOnceTheNeighbourIsSilentToo; the run over many nodes now loses the source for all at times.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/ConfigWatch.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/ConfigWatch.java
@@ -11,10 +11,12 @@
  * <p>Answers the load pattern of hundreds of nodes that each wake for each of many versions in a
  * row, and of hundreds that each try a source that is away. In each availability zone a few
  * watchers, on which all members agree without talking, read; they tell their zone every {@link
- * #SIGN_NANOS} that they still reach the source, and at once when a version is new. Invariant: a
+ * #SIGN_NANOS} that they still reach the source, and at once when a version is new. Invariants: a
  * node that has heard no watcher for {@link #LOST_NANOS} reads for itself, whatever it believes of
  * members; so do one that is a watcher, one that has heard none yet, and one whose neighbour did
- * not pass a version on. Safe for use by several threads.
+ * not pass a version on. A node that the source did not answer tries again soon, unless a neighbour
+ * has said since then that it reaches the source: when the source resets all connections at once,
+ * nobody waits for the others. Safe for use by several threads.
  */
 public final class ConfigWatch {
 
@@ -30,12 +32,23 @@
   /** First pause after the source did not answer, in milliseconds; doubles with each in a row. */
   private static final long FIRST_PAUSE_MILLIS = 300;
 
-  /** Longest pause while no neighbour reaches the source: within the bound of a late version. */
-  private static final long MAX_PAUSE_MILLIS = 1_200;
+  /**
+   * Longest pause while no neighbour reaches the source, in milliseconds: well within the bound of
+   * a late version. Pauses are up to half as long again, so that nodes do not try together.
+   */
+  private static final long MAX_PAUSE_MILLIS = 800;
 
   /** Pause while a neighbour reaches the source, in milliseconds. */
   private static final long RELIEVED_PAUSE_MILLIS = 2_500;
 
+  /** Doublings of the pause at most. */
+  private static final int MAX_DOUBLINGS = 2;
+
+  /** Part of a pause by which it varies. */
+  private static final double JITTER = 0.5;
+
+  private static final double NANOS_PER_MILLI = 1_000_000;
+
   private static final long KEY = Rendezvous.hash("configuration");
 
   private final NodeName self;
@@ -43,6 +56,8 @@
   private boolean heard;
   private long heardNanos;
   private int failures;
+  private long failedNanos;
+  private double jitter;
   private boolean told;
   private long toldNanos;
 
@@ -82,17 +97,30 @@
   /**
    * Returns whether this node reads from the source now.
    *
+   * @param nothingYet whether it has read nothing since its start, in which case it does not wait
+   *     to hear of others
    * @param nowNanos the current time
    * @return whether it does; if not, it asks again soon
    */
-  public synchronized boolean reads(long nowNanos) {
-    return watcher || !hears(nowNanos);
+  public synchronized boolean reads(boolean nothingYet, long nowNanos) {
+    boolean duty = watcher || nothingYet || !hears(nowNanos);
+    return duty && (failures == 0 || nowNanos - failedNanos >= pauseNanos(nowNanos));
   }
 
   private boolean hears(long nowNanos) {
     return heard && nowNanos - heardNanos <= LOST_NANOS;
   }
 
+  private long pauseNanos(long nowNanos) {
+    boolean relieved = hears(nowNanos) && heardNanos - failedNanos > 0;
+    int doublings = Math.min(failures - 1, MAX_DOUBLINGS);
+    long millis =
+        relieved
+            ? RELIEVED_PAUSE_MILLIS
+            : Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << doublings);
+    return (long) (millis * NANOS_PER_MILLI * (1 + JITTER * jitter));
+  }
+
   /** Takes in that the source answered. */
   public synchronized void onAnswer() {
     failures = 0;
@@ -101,15 +129,13 @@
   /**
    * Takes in that the source did not answer.
    *
+   * @param drawn a random number from 0 to 1
    * @param nowNanos the current time
-   * @return least pause before it is tried again, in milliseconds
    */
-  public synchronized long onFailure(long nowNanos) {
+  public synchronized void onFailure(double drawn, long nowNanos) {
     failures++;
-    if (hears(nowNanos)) {
-      return RELIEVED_PAUSE_MILLIS;
-    }
-    return Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures - 1, 2));
+    failedNanos = nowNanos;
+    jitter = drawn;
   }
 
   /**
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/ConfigWatchTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/ConfigWatchTests.java
@@ -36,7 +36,7 @@
       ConfigWatch watch = new ConfigWatch(node);
       watch.onZone(zone(20));
       watch.onSign(0);
-      if (!watch.reads(0)) {
+      if (!watch.reads(false, 0)) {
         return watch;
       }
     }
@@ -51,14 +51,14 @@
       ConfigWatch watch = new ConfigWatch(node);
       watch.onZone(zone(members));
       watch.onSign(0);
-      reading += watch.reads(0) ? 1 : 0;
+      reading += watch.reads(false, 0) ? 1 : 0;
     }
     assertEquals(watchers, reading);
   }
 
   @Test
   void aNodeThatKnowsNobodyReads() {
-    assertTrue(new ConfigWatch(node(1)).reads(0));
+    assertTrue(new ConfigWatch(node(1)).reads(false, 0));
   }
 
   @Nested
@@ -68,22 +68,22 @@
 
     @Test
     void itReadsOnceItHasHeardNoWatcherForAWhile() {
-      assertFalse(watch.reads(ConfigWatch.LOST_NANOS));
-      assertTrue(watch.reads(ConfigWatch.LOST_NANOS + 1));
+      assertFalse(watch.reads(false, ConfigWatch.LOST_NANOS));
+      assertTrue(watch.reads(false, ConfigWatch.LOST_NANOS + 1));
     }
 
     @Test
     void itReadsNoMoreOnceAWatcherIsHeardAgain() {
       watch.onSign(10 * SECOND);
 
-      assertFalse(watch.reads(10 * SECOND));
+      assertFalse(watch.reads(false, 10 * SECOND));
     }
 
     @Test
     void itReadsIfAVersionIsNotPassedOn() {
       watch.onNotPassedOn();
 
-      assertTrue(watch.reads(0));
+      assertTrue(watch.reads(false, 0));
     }
 
     @Test
@@ -98,7 +98,7 @@
       last.onZone(List.of(self));
       last.onSign(0);
 
-      assertTrue(last.reads(0));
+      assertTrue(last.reads(false, 0));
     }
   }
 
@@ -124,42 +124,83 @@
   @Nested
   class WhenTheSourceDoesNotAnswer {
 
+    // Returns when the node reads again.
+    private static long nextRead(ConfigWatch watch, boolean nothingYet, long fromNanos) {
+      long now = fromNanos;
+      while (!watch.reads(nothingYet, now)) {
+        now += MILLI;
+      }
+      return now;
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 20})
     void pausesGrowButStayWithinASecondOrSo(int failures) {
       ConfigWatch watch = new ConfigWatch(node(1));
       long pause = 0;
-      for (int i = 0; i < failures; i++) {
-        long next = watch.onFailure(i * SECOND);
+      for (int i = 1; i <= failures; i++) {
+        long now = 10L * i * SECOND;
+        watch.onFailure(1, now);
+        long next = nextRead(watch, false, now) - now;
         assertTrue(next >= pause, "pauses do not shrink");
         pause = next;
       }
-      assertTrue(pause <= 1_200, "pause " + pause);
+      assertTrue(pause >= 300 * MILLI && pause <= 1_200 * MILLI, "pause " + pause);
     }
 
     @Test
     void aWatcherThatIsCutOffTriesRarelyWhileANeighbourReachesIt() {
       ConfigWatch watch = new ConfigWatch(node(1));
-      long alone = watch.onFailure(0);
-      watch.onSign(SECOND);
+      watch.onFailure(0, 0);
+      for (long at = 100 * MILLI; at <= 2 * SECOND; at += ConfigWatch.SIGN_NANOS) {
+        watch.onSign(at);
+        assertFalse(watch.reads(false, at));
+      }
+    }
+
+    /** All lose the source together, just after each has heard that the others reach it. */
+    @Test
+    void nobodyWaitsForTheOthersIfAllLoseItAtOnce() {
+      ConfigWatch watch = new ConfigWatch(node(1));
+      watch.onSign(0);
+      watch.onFailure(1, 100 * MILLI);
+
+      assertTrue(nextRead(watch, false, 100 * MILLI) <= 600 * MILLI);
+    }
+
+    @Test
+    void aWatcherTriesAgainSoonOnceTheNeighbourIsSilentToo() {
+      ConfigWatch watch = new ConfigWatch(node(1));
+      watch.onFailure(1, 0);
+      watch.onSign(200 * MILLI);
+
+      assertTrue(
+          nextRead(watch, false, 200 * MILLI) <= 200 * MILLI + ConfigWatch.LOST_NANOS + MILLI);
+    }
+
+    @Test
+    void aNodeThatHasReadNothingPausesToo() {
+      ConfigWatch watch = new ConfigWatch(node(1));
+      watch.onFailure(0, 0);
 
-      assertTrue(watch.onFailure(SECOND) > 2 * alone);
+      assertFalse(watch.reads(true, 200 * MILLI));
+      assertTrue(watch.reads(true, 300 * MILLI));
     }
 
     @Test
-    void anAnswerMakesThePauseShortAgain() {
+    void anAnswerEndsThePause() {
       ConfigWatch watch = new ConfigWatch(node(1));
-      long first = watch.onFailure(0);
-      watch.onFailure(0);
+      watch.onFailure(1, 0);
       watch.onAnswer();
 
-      assertEquals(first, watch.onFailure(0));
+      assertTrue(watch.reads(false, 1));
     }
   }
 
   /**
    * Many nodes of one zone with versions in a storm, while watchers are killed, cut off from the
-   * source, or believed alive though they are not, and one sign in ten is lost.
+   * source, or believed alive though they are not, the source is away for all at times, and one
+   * sign in ten is lost.
    */
   @Nested
   class OverManyNodes {
@@ -174,7 +215,6 @@
       private final NodeName name;
       private final ConfigWatch watch;
       private long version;
-      private long triedNanos = -SECOND;
       private boolean down;
       private boolean cutOff;
       private boolean available;
@@ -188,6 +228,7 @@
 
     private final List<Node> nodes = zone(NODES).stream().map(Node::new).toList();
     private long reads;
+    private long sourceBackNanos;
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
@@ -209,6 +250,9 @@
     }
 
     private void disturb(Random random, long now) {
+      if (random.nextInt(100) == 0) {
+        sourceBackNanos = now + random.nextLong(2 * SECOND);
+      }
       if (random.nextInt(20) != 0) {
         return;
       }
@@ -230,10 +274,10 @@
         return;
       }
       boolean news = false;
-      if (node.watch.reads(now) && now - node.triedNanos >= 0) {
-        if (node.cutOff) {
+      if (node.watch.reads(false, now)) {
+        if (node.cutOff || now < sourceBackNanos) {
           node.available = false;
-          node.triedNanos = now + node.watch.onFailure(now) * MILLI;
+          node.watch.onFailure(random.nextDouble(), now);
         } else {
           node.available = true;
           node.watch.onAnswer();
@@ -254,7 +298,9 @@
       for (Node node : nodes) {
         boolean inTouch = !node.down && !node.cutOff && now - node.touchSinceNanos > BOUND;
         if (inTouch && node.version + 1 < publishedNanos.size()) {
-          long lateNanos = now - publishedNanos.get((int) node.version + 1);
+          long readableNanos =
+              Math.max(sourceBackNanos, publishedNanos.get((int) node.version + 1));
+          long lateNanos = now - readableNanos;
           assertTrue(lateNanos <= BOUND, node.name + " lacks a version after " + lateNanos);
         }
       }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
@@ -21,7 +21,7 @@
    */
   private static final long PAUSE_AFTER_CHANGE_MILLIS = 250;
 
-  /** Time between two looks at the watch while others read, in milliseconds. */
+  /** Time between two looks at the watch while this node does not read, in milliseconds. */
   private static final long LOOK_MILLIS = 100;
 
   private final ConfigFeed feed;
@@ -83,10 +83,11 @@
     }
   }
 
-  // A node that has read nothing yet reads, because after its start it is the fastest way.
   private boolean reads() {
-    boolean now = position == ConfigFeed.START || watch.reads(time.nanos());
-    if (now != reading) {
+    boolean nothingYet = position == ConfigFeed.START;
+    boolean now = watch.reads(nothingYet, time.nanos());
+    // Pauses after a failure are told by the loss of the feed.
+    if (now != reading && available) {
       reading = now;
       log.info("config-reading", () -> "reads=" + now + " position=" + position);
     }
@@ -109,16 +110,11 @@
       }
       case ConfigFeed.Reading.Unavailable unavailable -> {
         setAvailable(false, unavailable.detail());
-        pause(watch.onFailure(time.nanos()));
+        watch.onFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
       }
     }
   }
 
-  // Twice as long at most, so that nodes that failed together do not try again together.
-  private static void pause(long leastMillis) throws InterruptedException {
-    Thread.sleep(leastMillis + ThreadLocalRandom.current().nextLong(leastMillis));
-  }
-
   private void take(byte[] document) {
     switch (feed.decode(document)) {
       case Parsed.Valid<RoutingConfig> valid -> listener.accept(valid.value());
