Do not cut requests on the link of a node that gossip calls dead

A stopping node (SIGTERM at 11.477 s) answered a request with 502 at 12.048 s, at which a server beside another node was at work; that node had been killed at 7.6 s and was back. So it is inferred, not seen, that the link was closed because its node was declared dead: closing links of members that are not reachable cut whatever waited on them.

Test: PeerLinksTests; of its cases DEAD and LEFT with something waiting failed before.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -134,13 +134,18 @@
     channel.ifPresent(Channel::close);
   }
 
+  /** {@return whether requests or queries wait for a frame on this link} */
+  boolean waits() {
+    return !streams.isEmpty() || !queries.isEmpty();
+  }
+
   /**
    * Asks for a sign of life if none has come for a while, and closes a link that gives none.
    *
    * @return whether the link was closed
    */
   boolean supervise(long nowNanos, long quietNanos, long timeoutNanos) {
-    boolean waits = !streams.isEmpty() || !queries.isEmpty();
+    boolean waits = waits();
     if (askedNanos != NOT_ASKED && receivedNanos - askedNanos > 0) {
       askedNanos = NOT_ASKED;
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -25,6 +26,7 @@
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.Hello;
@@ -246,11 +248,11 @@
   /**
    * Closes links to nodes that are gone.
    *
-   * @param gone decides for each address
+   * @param gone decides for each address and its link
    */
-  private void closeIf(java.util.function.Predicate<PeerAddress> gone) {
+  private void closeIf(BiPredicate<PeerAddress, PeerLink> gone) {
     for (Map.Entry<PeerAddress, PeerLink> entry : List.copyOf(links.entrySet())) {
-      if (gone.test(entry.getKey())) {
+      if (gone.test(entry.getKey(), entry.getValue())) {
         links.remove(entry.getKey(), entry.getValue());
         locks.remove(entry.getKey());
         unreachableUntil.remove(entry.getKey());
@@ -266,19 +268,23 @@
    */
   public void closeGone(Membership membership) {
     closeIf(
-        address ->
+        (address, link) ->
             membership
                 .member(address.node())
-                .filter(
-                    member ->
-                        !member.reachable()
-                            || member.incarnation().compareTo(address.incarnation()) > 0)
+                .filter(member -> isOver(member, address, link.waits()))
                 .isPresent());
   }
 
+  // A link on which something waits shows by itself whether its node lives, see supervise(). What
+  // others say of a node that is only slow, as after a restart, must not cut its requests.
+  static boolean isOver(Member member, PeerAddress address, boolean waits) {
+    boolean replaced = member.incarnation().compareTo(address.incarnation()) > 0;
+    return replaced || (!member.reachable() && !waits);
+  }
+
   @Override
   public void close() {
-    closeIf(address -> true);
+    closeIf((address, link) -> true);
   }
 
   private final class LinkOwner implements PeerLink.Owner {
--- /dev/null
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/PeerLinksTests.java
@@ -0,0 +1,48 @@
+package org.amaranthmoor.daemon.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.amaranthmoor.model.Incarnation;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.node.Member;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PeerLinksTests {
+
+  private static final NodeName NODE = new NodeName("n1");
+
+  /** A restarted node that is slow may be believed dead while it answers on its links. */
+  @ParameterizedTest
+  @CsvSource({
+    "ALIVE, 5, false, false",
+    "ALIVE, 5, true, false",
+    "SUSPECT, 5, false, false",
+    "DEAD, 5, false, true",
+    "DEAD, 5, true, false",
+    "LEFT, 5, false, true",
+    "LEFT, 5, true, false",
+    "ALIVE, 6, true, true",
+    "ALIVE, 6, false, true",
+    "DEAD, 6, true, true",
+  })
+  void aLinkIsOverIfItsNodeWasReplacedOrIsGoneAndNothingWaitsOnIt(
+      Member.Liveness liveness, long incarnation, boolean waits, boolean over) {
+    Member member =
+        new Member(
+            NODE,
+            new Incarnation(incarnation),
+            liveness,
+            "127.0.0.1",
+            1,
+            new ZoneName("z"),
+            new RegionName("r"),
+            false,
+            0);
+    PeerAddress address = new PeerAddress(NODE, new Incarnation(5), "127.0.0.1", 1);
+
+    assertEquals(over, PeerLinks.isOver(member, address, waits));
+  }
+}
