Log what a target states of itself, and the kind of each request at it

An event target-notice now names each change of what a target states; target-exchange names attempt and need. No decision depends on either yet.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
@@ -4,6 +4,7 @@
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 
 /**
@@ -36,4 +37,7 @@
 
   @Override
   public void onReplaced(TargetRun run) {}
+
+  @Override
+  public void onNotice(TargetRun run, TargetNotice notice) {}
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/OwnTargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/OwnTargetDialect.java
@@ -5,6 +5,7 @@
 import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpMessage;
@@ -47,4 +48,9 @@
   public OptionalDouble slowdown(HttpResponse response) {
     return OptionalDouble.empty();
   }
+
+  @Override
+  public TargetNotice notice(HttpResponse response) {
+    return TargetNotice.NONE;
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -1,12 +1,14 @@
 package org.amaranthmoor.daemon.target;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLife;
+import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 
 /**
@@ -20,6 +22,10 @@
   private final TargetLife life;
   private final TargetHealth health;
   private final EventLog log;
+  private final AtomicReference<RunNotice> newestNotice =
+      new AtomicReference<>(new RunNotice(new TargetRun("", 0), TargetNotice.NONE));
+
+  private record RunNotice(TargetRun run, TargetNotice notice) {}
 
   /**
    * Creates a gate.
@@ -84,4 +90,14 @@
     life.onGone(run);
     log.warn("target-replaced", () -> "run=" + run.id() + " started-millis=" + run.startedMillis());
   }
+
+  @Override
+  public void onNotice(TargetRun run, TargetNotice notice) {
+    RunNotice current = new RunNotice(run, notice);
+    if (!newestNotice.getAndSet(current).equals(current)) {
+      log.info(
+          "target-notice",
+          () -> "run=" + run.id() + " limit=" + notice.limit() + " leaving=" + notice.leaving());
+    }
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpResponse;
@@ -68,4 +69,12 @@
    * @return 1 for the usual speed, 4 if work takes four times as long; empty if it does not say
    */
   OptionalDouble slowdown(HttpResponse response);
+
+  /**
+   * Returns what the target states of itself for all its callers.
+   *
+   * @param response the head of an answer
+   * @return what it states
+   */
+  TargetNotice notice(HttpResponse response);
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -18,6 +18,7 @@
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -69,8 +70,9 @@
    *
    * @param kind how it ended
    * @param slowdown how much longer work takes at the target, if it said so
+   * @param notice what the target stated of itself; empty if no answer of its own came
    */
-  record End(Kind kind, OptionalDouble slowdown) {
+  record End(Kind kind, OptionalDouble slowdown, Optional<TargetNotice> notice) {
     /** {@return whether the time of the exchange tells how long the target works} */
     boolean tellsSpeed() {
       return kind == Kind.ANSWERED;
@@ -85,6 +87,7 @@
   private final TimeSource time;
   private final Consumer<End> whenDone;
   private OptionalDouble slowdown = OptionalDouble.empty();
+  private Optional<TargetNotice> notice = Optional.empty();
   private boolean passedOver;
   private boolean done;
 
@@ -139,7 +142,7 @@
     } else {
       connection.abort();
     }
-    whenDone.accept(new End(kind, slowdown));
+    whenDone.accept(new End(kind, slowdown, notice));
   }
 
   private void send(ClassicHttpRequest request) throws IOException, HttpException {
@@ -206,8 +209,16 @@
     ClassicHttpResponse own = passOverForeign(request, response);
     slowdown = dialect.slowdown(own);
     return switch (dialect.judge(call.request(), own)) {
-      case TargetDialect.Judgement.Answer answer -> answer(request, own);
-      case TargetDialect.Judgement.NotRun notRun -> refused(request, own, notRun.code());
+      case TargetDialect.Judgement.Answer answer -> {
+        notice = Optional.of(dialect.notice(own));
+        yield answer(request, own);
+      }
+      case TargetDialect.Judgement.NotRun notRun -> {
+        if (notRun.code() != ResultCode.TARGET_REPLACED) {
+          notice = Optional.of(dialect.notice(own));
+        }
+        yield refused(request, own, notRun.code());
+      }
       case TargetDialect.Judgement.Unusable unusable ->
           broken(
               Kind.BROKEN,
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
@@ -4,6 +4,7 @@
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 
 /**
@@ -69,4 +70,12 @@
    * @param run the run that was meant
    */
   void onReplaced(TargetRun run);
+
+  /**
+   * Takes in what a run states of itself in an answer.
+   *
+   * @param run the run that the request was handed to
+   * @param notice what the answer states
+   */
+  void onNotice(TargetRun run, TargetNotice notice);
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -281,6 +281,10 @@
                 + waiter.request().id()
                 + " rule="
                 + waiter.request().rule()
+                + " attempt="
+                + waiter.request().attempt()
+                + " needed="
+                + waiter.request().needed()
                 + " end="
                 + end.kind()
                 + " held-ms="
@@ -289,6 +293,7 @@
                 + admission.describe(now)
                 + " slowdown="
                 + end.slowdown());
+    target.run().ifPresent(run -> end.notice().ifPresent(notice -> gate.onNotice(run, notice)));
     end.slowdown().ifPresent(factor -> admission.onSlowdown(factor, now));
     admission.release(waiter, end.tellsSpeed() ? now - startNanos : -1, now);
     switch (end.kind()) {
