Start requests at a target no faster than the rate that it states

Cause: no class read the statement. Class of fault: what a target states in its answers about all its callers is ignored.

Change: StatedRate spaces the starts in Admission, the one place that every request to a target passes, so that the rate holds over all nodes without a word between them, for repeats and needed calls as well; the speed is not asked for meanwhile. A request waits for its start while it can be in time, needed ones first, and is refused at once otherwise (TARGET_LIMITED), with the time of the next start that nobody else was told of. Load reports carry the time to the next start, so that other nodes ask such a target after the others. The rate ends with an answer to a request that was sent after it was last named; at a rate below one in 4 s a request is still sent now and then, as nothing else shows the end.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Placement.java
@@ -14,9 +14,10 @@
  * <p>Answers three load patterns: a server in a slow phase beside others that are not, which is
  * passed over; a zone with more callers than its own servers can serve, where the overflow goes to
  * other zones; and a burst beyond all servers, where a request asks only a few before it is
- * refused. Servers of the own availability zone come first, those that expect to answer soon before
- * those that still expect to be in time; then some of other zones; at last the own zone is asked to
- * answer late, if it has room for that. Confined to one thread.
+ * refused. A server whose stated rate leaves no start now is asked after the others. Servers of the
+ * own availability zone come first, those that expect to answer soon before those that still expect
+ * to be in time; then some of other zones; at last the own zone is asked to answer late, if it has
+ * room for that. Confined to one thread.
  */
 public final class Placement {
 
@@ -195,7 +196,12 @@
         servers.stream()
             .filter(server -> needed || !server.stats().refusals().pausing(kind, nowNanos))
             .toList();
-    Optional<Server> server = picker.pick(open, excluded, nowNanos, random);
+    List<Server> startable =
+        open.stream().filter(server -> !server.stats().awaitsStart(nowNanos)).toList();
+    Optional<Server> server =
+        picker
+            .pick(startable, excluded, nowNanos, random)
+            .or(() -> picker.pick(open, excluded, nowNanos, random));
     server.ifPresent(excluded::add);
     return server.map(found -> new Choice(found, patience));
   }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -185,6 +185,17 @@
     return Math.max(known, silentNanos);
   }
 
+  /**
+   * Returns whether the rate that the target states leaves no start for a request that is sent now.
+   *
+   * @param nowNanos the current time
+   * @return whether the newest report says so
+   */
+  public boolean awaitsStart(long nowNanos) {
+    StampedReport last = report.get();
+    return last != null && nowNanos - last.atNanos < last.load.startWaitNanos();
+  }
+
   /** {@return the smoothed share of calls that failed, from 0 to 1} */
   public double failureShare() {
     return Double.longBitsToDouble(failureBits.get());
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/LoadReport.java
@@ -10,9 +10,16 @@
  * @param slots requests the target may run at once
  * @param serviceTimeNanos time the target is expected to take for a request, in nanoseconds
  * @param draining whether the target side refuses new work
+ * @param startWaitNanos time until a request that arrives may start, by the rate that the target
+ *     states, in nanoseconds; 0 if it states none
  */
 public record LoadReport(
-    int inFlight, int queued, int slots, long serviceTimeNanos, boolean draining) {
+    int inFlight,
+    int queued,
+    int slots,
+    long serviceTimeNanos,
+    boolean draining,
+    long startWaitNanos) {
 
   /** {@return the requests in flight and queued together} */
   public int occupancy() {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -44,6 +44,8 @@
   TARGET_ABSENT(117, Kind.NOT_RUN, 503, true),
   /** The node that was asked has too little processor time for the call. */
   NODE_BUSY(118, Kind.NOT_RUN, 503, false),
+  /** The target states a rate of requests that leaves none for this one in time. */
+  TARGET_LIMITED(119, Kind.NOT_RUN, 503, true),
   /** The connection to the target side was lost after the request may have been handed over. */
   LINK_LOST(201, Kind.UNKNOWN, 502, true),
   /** The deadline passed after the request may have been handed over. */
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -23,10 +23,12 @@
  * for the phase to end or goes elsewhere. After a restart nothing is known of the target: the speed
  * is asked for before the first work, what work took at an unknown speed teaches nothing, and a
  * refusal for a speed that is not known freshly asks for it, so that the next request finds it.
- * Invariants: at most {@link Limits#concurrency()} requests are admitted and not released; a waiter
- * gets exactly one final decision; a wait for the speed is bounded by {@link #SPEED_WAIT_NANOS}
- * however the question ends, if waiters call {@link #recheck}. Waiters are told outside the lock.
- * Safe for use by several threads.
+ * Where the target states a rate, requests start no faster, those that running ones need first, and
+ * a refused caller learns when it may start; the speed is not asked for, as the target may count
+ * the question. Invariants: at most {@link Limits#concurrency()} requests are admitted and not
+ * released; a waiter gets exactly one final decision; a wait for the speed is bounded by {@link
+ * #SPEED_WAIT_NANOS} however the question ends, if waiters call {@link #recheck}. Waiters are told
+ * outside the lock. Safe for use by several threads.
  */
 public final class Admission {
 
@@ -41,6 +43,10 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final double HUNDRED = 100;
+
+  /** Longest time after which a caller is told to come back, in milliseconds. */
+  private static final long MAX_RETRY_MILLIS = 30_000;
+
   private static final double PERCENT = 100;
   private static final long MAX_SHOWN_AGE_MILLIS = 99_999;
 
@@ -169,9 +175,14 @@
           .thenComparingLong(queued -> queued.waiter().objectiveNanos())
           .thenComparingLong(Queued::number);
 
+  // Where starts are scarce, a request whose loss loses a running one too goes first.
+  private static final Comparator<Queued> LIMITED_ORDER =
+      Comparator.comparing((Queued queued) -> !queued.waiter().needed()).thenComparing(ORDER);
+
   private final RefusalAdvice advice;
   private final ServiceTimes times = new ServiceTimes();
   private final Slowdown slowdown = new Slowdown();
+  private final StatedRate rate = new StatedRate();
   private final List<Queued> queue = new ArrayList<>();
   private final Map<Waiter, Running> running = new HashMap<>();
   private Limits limits;
@@ -237,10 +248,20 @@
         && free
         && !slowdown.fresh(nowNanos)
         && nowNanos + usualNanos <= waiter.objectiveNanos()) {
+      askSpeed(notices);
+    }
+  }
+
+  private void askSpeed(Notices notices) {
+    if (!rate.limits()) {
       speedProbe.ifPresent(notices.pending::add);
     }
   }
 
+  private Comparator<Queued> order() {
+    return rate.limits() ? LIMITED_ORDER : ORDER;
+  }
+
   private Decision decide(Waiter waiter, long nowNanos, Notices notices) {
     if (closed.isPresent()) {
       return refuse(closed.get(), nowNanos);
@@ -251,7 +272,8 @@
     Queued arrived = arrived(waiter, nowNanos);
     boolean free =
         hasSlot(arrived, nowNanos)
-            && queue.stream().noneMatch(q -> ORDER.compare(q, arrived) < 0 && hasSlot(q, nowNanos));
+            && queue.stream()
+                .noneMatch(q -> order().compare(q, arrived) < 0 && hasSlot(q, nowNanos));
     double startNanos = free ? (double) nowNanos : startNanos(arrived, nowNanos);
     double endNanos = startNanos + expectedNanos(arrived, nowNanos);
     if (!free && endNanos > waiter.deadlineNanos()) {
@@ -321,7 +343,7 @@
       return !slowdown.slow(nowNanos);
     }
     boolean waitedEnough = nowNanos - request.arrivedNanos() >= SPEED_WAIT_NANOS;
-    return slowdown.failedToTell(nowNanos) || waitedEnough;
+    return slowdown.failedToTell(nowNanos) || waitedEnough || rate.limits();
   }
 
   // Whether the work ends in time outside of a slow phase, but not in one: before its objective, or
@@ -342,6 +364,9 @@
   // where waiting would make it late it takes a slot beyond those that are used, although work in
   // all of these slows the target down.
   private boolean hasSlot(Queued request, long nowNanos) {
+    if (!rate.mayStart(nowNanos)) {
+      return false;
+    }
     int used = running.size();
     boolean beyond = request.waiter().needed() && used < limits.slots();
     return used < limits.concurrency() || (beyond && isLateIfItWaits(request, nowNanos));
@@ -355,7 +380,7 @@
   private void askSpeedIfNeeded(long nowNanos, Notices notices) {
     boolean waits = queue.stream().anyMatch(queued -> hasSlot(queued, nowNanos));
     if (waits && !slowdown.fresh(nowNanos)) {
-      speedProbe.ifPresent(notices.pending::add);
+      askSpeed(notices);
     }
   }
 
@@ -388,12 +413,14 @@
     while (freeNanos.size() < limits.concurrency()) {
       freeNanos.add((double) nowNanos);
     }
+    int ahead = 0;
     for (Queued other : queue) {
-      if (ORDER.compare(other, request) < 0) {
+      if (order().compare(other, request) < 0) {
         freeNanos.add(freeNanos.remove() + expectedNanos(other, nowNanos));
+        ahead++;
       }
     }
-    return freeNanos.remove();
+    return Math.max(freeNanos.remove(), (double) (nowNanos + rate.waitNanos(ahead, nowNanos)));
   }
 
   private void start(Queued request, long nowNanos) {
@@ -401,12 +428,13 @@
     double work = workNanos(request, nowNanos);
     long endNanos = nowNanos + (long) (work * factor);
     boolean known = slowdown.fresh(nowNanos);
+    rate.onStart(nowNanos);
     running.put(request.waiter(), new Running(work, request.guessNanos(), factor, known, endNanos));
   }
 
   private void enqueue(Queued request) {
     int index = queue.size();
-    while (index > 0 && ORDER.compare(request, queue.get(index - 1)) < 0) {
+    while (index > 0 && order().compare(request, queue.get(index - 1)) < 0) {
       index--;
     }
     queue.add(index, request);
@@ -432,6 +460,11 @@
   }
 
   private Decision.Refused refuse(ResultCode code, long nowNanos) {
+    if (code == ResultCode.OVERLOADED && !rate.mayStart(nowNanos)) {
+      long waitNanos = rate.onRefused(queue.size(), nowNanos);
+      return new Decision.Refused(
+          ResultCode.TARGET_LIMITED, 1 + Math.min(MAX_RETRY_MILLIS, waitNanos / NANOS_PER_MILLI));
+    }
     long drainNanos = (long) (serviceTimeNanos * (queue.size() + 1) / limits.concurrency());
     return new Decision.Refused(code, advice.onRefused(drainNanos, nowNanos));
   }
@@ -478,12 +511,16 @@
   }
 
   private void refuseHopeless(long nowNanos, Notices notices) {
+    int ahead = 0;
     for (Queued queued : List.copyOf(queue)) {
       Waiter waiter = queued.waiter();
-      double endNanos = nowNanos + slowdown.atBestNanos(workNanos(queued, nowNanos), nowNanos);
+      double startNanos = (double) (nowNanos + rate.waitNanos(ahead, nowNanos));
+      double endNanos = startNanos + slowdown.atBestNanos(workNanos(queued, nowNanos), nowNanos);
       Optional<ResultCode> code = Optional.empty();
       if (waiter.deadlineNanos() <= nowNanos) {
         code = Optional.of(ResultCode.DEADLINE_BEFORE_START);
+      } else if (startNanos >= waiter.deadlineNanos()) {
+        code = Optional.of(ResultCode.OVERLOADED);
       } else if (waiter.patiencePercent() > 0 && endNanos > queued.latestEndNanos()) {
         if (!hasSlot(queued, nowNanos)) {
           noteCrowded(queued, nowNanos);
@@ -493,6 +530,8 @@
       if (code.isPresent()) {
         queue.remove(queued);
         notices.refuse(waiter, refuse(code.get(), nowNanos));
+      } else {
+        ahead++;
       }
     }
   }
@@ -500,7 +539,10 @@
   // The first that can be in time; if none can, the first.
   private Optional<Queued> next(long nowNanos) {
     List<Queued> startable =
-        queue.stream().filter(q -> hasSlot(q, nowNanos) && mayStart(q, nowNanos)).toList();
+        queue.stream()
+            .filter(q -> hasSlot(q, nowNanos) && mayStart(q, nowNanos))
+            .sorted(order())
+            .toList();
     return startable.stream()
         .filter(q -> nowNanos + expectedNanos(q, nowNanos) <= q.waiter().objectiveNanos())
         .findFirst()
@@ -569,6 +611,46 @@
     notices.deliver();
   }
 
+  /**
+   * Takes in what an answer of the target says of the rate of requests that it takes.
+   *
+   * @param stated the rate
+   * @param sentNanos when the request was handed over
+   * @param nowNanos the current time
+   */
+  public void onLimit(TargetNotice.Limit stated, long sentNanos, long nowNanos) {
+    Notices notices = new Notices();
+    synchronized (this) {
+      switch (stated) {
+        case TargetNotice.Limit.Rate named -> rate.onNamed(named.requestsPerSecond(), nowNanos);
+        case TargetNotice.Limit.Unstated unstated -> {
+          if (rate.onUnnamed(sentNanos)) {
+            admitNext(nowNanos, notices);
+          }
+        }
+        // It still limits, and may have been misread; what was known before holds.
+        case TargetNotice.Limit.Unreadable unreadable -> {}
+      }
+    }
+    notices.deliver();
+  }
+
+  /** Forgets the rate that the target has stated, as for a new run. */
+  public synchronized void forgetLimit() {
+    rate.reset();
+  }
+
+  /**
+   * Returns when a waiter that was told nothing has its decision checked again.
+   *
+   * @param nowNanos the current time
+   * @return time until {@link #recheck} in nanoseconds, at least 1
+   */
+  public synchronized long recheckNanos(long nowNanos) {
+    long startNanos = rate.waitNanos(0, nowNanos);
+    return startNanos > 0 ? Math.min(startNanos, SPEED_WAIT_NANOS) : SPEED_WAIT_NANOS;
+  }
+
   /**
    * Takes in how much longer the target stays slow after its start.
    *
@@ -628,10 +710,20 @@
     closed = Optional.empty();
   }
 
-  /** {@return the exact load at this moment} */
-  public synchronized LoadReport load() {
+  /**
+   * Returns the exact load.
+   *
+   * @param nowNanos the current time
+   * @return the load at this moment
+   */
+  public synchronized LoadReport load(long nowNanos) {
     return new LoadReport(
-        running.size(), queue.size(), limits.slots(), (long) serviceTimeNanos, closed.isPresent());
+        running.size(),
+        queue.size(),
+        limits.slots(),
+        (long) serviceTimeNanos,
+        closed.isPresent(),
+        rate.waitNanos(queue.size(), nowNanos));
   }
 
   /**
@@ -639,7 +731,8 @@
    *
    * @param nowNanos the current time
    * @return key=value pairs: requests running and queued, how much longer work is expected to take,
-   *     the newest report of that and its age
+   *     the newest report of that and its age; the rate that the target states, if any, and when
+   *     the next request may start
    */
   public synchronized String describe(long nowNanos) {
     return "running="
@@ -651,7 +744,13 @@
         + " reported-slowdown="
         + hundredths(slowdown.lastReported())
         + " report-age-ms="
-        + Math.min(slowdown.ageNanos(nowNanos) / NANOS_PER_MILLI, MAX_SHOWN_AGE_MILLIS);
+        + Math.min(slowdown.ageNanos(nowNanos) / NANOS_PER_MILLI, MAX_SHOWN_AGE_MILLIS)
+        + (rate.limits()
+            ? " limit="
+                + hundredths(rate.perSecond().getAsDouble())
+                + " next-start-ms="
+                + rate.waitNanos(0, nowNanos) / NANOS_PER_MILLI
+            : "");
   }
 
   private static double hundredths(double value) {
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PickerTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PickerTests.java
@@ -34,7 +34,8 @@
     servers
         .subList(0, 2)
         .forEach(
-            server -> server.stats().onReport(new LoadReport(0, 0, 6, MILLI, true), Servers.NOW));
+            server ->
+                server.stats().onReport(new LoadReport(0, 0, 6, MILLI, true, 0), Servers.NOW));
 
     assertEquals(Optional.of(servers.get(2)), pick(Set.of()));
   }
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/Servers.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/Servers.java
@@ -39,7 +39,7 @@
   static void answer(Server server, long latencyNanos, int occupancy) {
     server.stats().onStart(NOW - latencyNanos);
     server.stats().onFinish(latencyNanos, false, NOW);
-    server.stats().onReport(new LoadReport(occupancy, 0, SLOTS, latencyNanos, false), NOW);
+    server.stats().onReport(new LoadReport(occupancy, 0, SLOTS, latencyNanos, false, 0), NOW);
   }
 
   static void fail(List<Server> servers, Server server, int times) {
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionTests.java
@@ -131,7 +131,7 @@
 
       Decision.Refused refused = assertInstanceOf(Decision.Refused.class, late.told.getFirst());
       assertEquals(ResultCode.DEADLINE_BEFORE_START, refused.code());
-      assertEquals(1, admission.load().inFlight());
+      assertEquals(1, admission.load(0).inFlight());
     }
 
     @Test
@@ -162,8 +162,8 @@
           ResultCode.DRAINING,
           assertInstanceOf(Decision.Refused.class, admission.offer(waiter(Priority.CRITICAL), 0))
               .code());
-      assertEquals(2, admission.load().inFlight());
-      assertTrue(admission.load().draining());
+      assertEquals(2, admission.load(0).inFlight());
+      assertTrue(admission.load(0).draining());
     }
   }
 }
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -317,7 +317,7 @@
       boolean taken = admission.offer(first, 0) instanceof Decision.Admitted;
 
       assertTrue(taken || first.told.contains(new Decision.Admitted()), "the needed request runs");
-      assertEquals(6, admission.load().inFlight());
+      assertEquals(6, admission.load(0).inFlight());
     }
 
     /** Work in more slots than are used slows all work of the target down. */
@@ -331,7 +331,7 @@
       Request next = needed(80);
 
       assertInstanceOf(Decision.Queued.class, admission.offer(next, 0));
-      assertEquals(5, admission.load().inFlight());
+      assertEquals(5, admission.load(0).inFlight());
     }
 
     @Test
@@ -351,7 +351,7 @@
         admission.offer(needed(80), 0);
       }
       admission.offer(needed(25), 0);
-      assertEquals(6, admission.load().inFlight());
+      assertEquals(6, admission.load(0).inFlight());
 
       assertInstanceOf(Decision.Queued.class, admission.offer(needed(25), 0));
     }
@@ -588,4 +588,121 @@
           "in time " + counted.inTime + " of " + possible + " possible");
     }
   }
+
+  /** A burst at a target that names a rate of requests far below what its slots could do. */
+  @Nested
+  class WhenTheTargetStatesARate {
+
+    private static final double PER_SECOND = 3;
+
+    private Request request(Priority priority, long now) {
+      return new Request(PAGES, priority, now, 500 * MILLI, 90);
+    }
+
+    private Request needed(long now) {
+      return new Request(PAGES, Priority.BROWSE, now, 500 * MILLI, 90) {
+        @Override
+        public boolean needed() {
+          return true;
+        }
+      };
+    }
+
+    private void state(double perSecond) {
+      learn(PAGES, 40);
+      admission.onLimit(new TargetNotice.Limit.Rate(perSecond), 0, 0);
+    }
+
+    @Test
+    void itGetsNoMoreThanThatWhoeverAsks() {
+      state(PER_SECOND);
+      SplittableRandom random = new SplittableRandom(7);
+      List<Request> open = new ArrayList<>();
+      int started = 0;
+      for (long now = 0; now < 8_000 * MILLI; now += 10 * MILLI) {
+        Request request = random.nextInt(4) == 0 ? needed(now) : request(Priority.NORMAL, now);
+        Decision decision = admission.offer(request, now);
+        open.add(request);
+        if (decision instanceof Decision.Admitted) {
+          request.told.add(decision);
+        }
+        admission.recheck(now);
+        for (Request other : List.copyOf(open)) {
+          if (other.told.contains(new Decision.Admitted())) {
+            started++;
+            open.remove(other);
+            admission.release(other, 40 * MILLI, now);
+          }
+        }
+      }
+
+      assertTrue(started <= 8 * PER_SECOND + 1, started + " started");
+      assertTrue(started >= 8 * PER_SECOND - 2, started + " started");
+    }
+
+    @Test
+    void theNextStartGoesToTheRequestThatARunningOneNeeds() {
+      state(PER_SECOND);
+      Request urgent = request(Priority.CRITICAL, 0);
+      Request needed = needed(0);
+      assertInstanceOf(Decision.Queued.class, admission.offer(urgent, 0));
+      assertInstanceOf(Decision.Queued.class, admission.offer(needed, 0));
+
+      admission.recheck(334 * MILLI);
+
+      assertEquals(List.of(new Decision.Admitted()), needed.told);
+    }
+
+    @Test
+    void aRequestThatNoStartIsLeftForInTimeIsRefusedAtOnceWithTheTimeOfItsStart() {
+      state(0.5);
+
+      Decision.Refused first =
+          assertInstanceOf(Decision.Refused.class, admission.offer(request(Priority.NORMAL, 0), 0));
+      Decision.Refused second =
+          assertInstanceOf(Decision.Refused.class, admission.offer(request(Priority.NORMAL, 0), 0));
+
+      assertEquals(new Decision.Refused(ResultCode.TARGET_LIMITED, 2_001), first);
+      assertEquals(new Decision.Refused(ResultCode.TARGET_LIMITED, 4_001), second);
+    }
+
+    @Test
+    void theLoadTellsOthersWhenTheNextStartIs() {
+      state(2);
+
+      assertEquals(500 * MILLI, admission.load(0).startWaitNanos());
+      assertEquals(0, admission.load(500 * MILLI).startWaitNanos());
+    }
+
+    @Test
+    void whatWaitsForAStartIsAdmittedWhenTheRateEnds() {
+      state(PER_SECOND);
+      Request waiting = request(Priority.NORMAL, 0);
+      assertInstanceOf(Decision.Queued.class, admission.offer(waiting, 0));
+
+      admission.onLimit(new TargetNotice.Limit.Unstated(), 50 * MILLI, 100 * MILLI);
+
+      assertEquals(List.of(new Decision.Admitted()), waiting.told);
+    }
+
+    @Test
+    void aRateThatCannotBeReadChangesNothing() {
+      state(2);
+
+      admission.onLimit(new TargetNotice.Limit.Unreadable(), 50 * MILLI, 100 * MILLI);
+
+      assertEquals(400 * MILLI, admission.load(100 * MILLI).startWaitNanos());
+    }
+
+    @Test
+    void theTargetIsNotAskedForItsSpeed() {
+      List<String> questions = new ArrayList<>();
+      state(2);
+      admission.probeSpeedBy(() -> questions.add("asked"));
+
+      admission.offer(new Request(PAGES, Priority.NORMAL, 0, 90 * MILLI, 90), 600 * MILLI);
+
+      assertEquals(List.of(), questions);
+    }
+  }
 }
--- /dev/null
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/StatedRateTests.java
@@ -0,0 +1,113 @@
+package org.amaranthmoor.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StatedRateTests {
+
+  private static final long MILLI = 1_000_000L;
+  private static final long SECOND = 1_000 * MILLI;
+
+  private final StatedRate rate = new StatedRate();
+
+  private int startsUntil(long endNanos) {
+    int starts = 0;
+    for (long now = 0; now < endNanos; now += MILLI) {
+      if (rate.mayStart(now)) {
+        rate.onStart(now);
+        starts++;
+      }
+    }
+    return starts;
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {0.3, 1, 1.9, 2.4, 7, 50, 400})
+  void noMoreThanTheRateStarts(double perSecond) {
+    rate.onNamed(perSecond, 0);
+
+    int starts = startsUntil(20 * SECOND);
+
+    assertTrue(starts <= 20 * perSecond + Math.max(1, perSecond * StatedRate.SAVED_SECONDS));
+    assertTrue(starts >= Math.floor(20 * perSecond) - 1, starts + " at a rate of " + perSecond);
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {1.9, 50})
+  void timeThatWasNotUsedIsSavedForAShortWhileOnly(double perSecond) {
+    rate.onNamed(perSecond, 0);
+
+    int atOnce = 0;
+    while (rate.mayStart(60 * SECOND)) {
+      rate.onStart(60 * SECOND);
+      atOnce++;
+    }
+
+    assertTrue(atOnce <= 1 + perSecond * StatedRate.SAVED_SECONDS, atOnce + " at once");
+  }
+
+  @Test
+  void aRateOfZeroIsTriedNowAndThenAsOnlyAnAnswerShowsItsEnd() {
+    rate.onNamed(0, 0);
+
+    assertEquals(5, startsUntil(20 * SECOND + MILLI));
+  }
+
+  @Test
+  void anAnswerToARequestThatWasSentBeforeTheRateWasNamedDoesNotEndIt() {
+    rate.onNamed(2, 100 * MILLI);
+
+    assertFalse(rate.onUnnamed(50 * MILLI));
+    assertTrue(rate.limits());
+    assertTrue(rate.onUnnamed(150 * MILLI));
+    assertFalse(rate.limits());
+  }
+
+  @Test
+  void namingTheRateAgainKeepsItInForceForRequestsThatWereSentMeanwhile() {
+    rate.onNamed(2, 100 * MILLI);
+    rate.onNamed(2, 300 * MILLI);
+
+    assertFalse(rate.onUnnamed(200 * MILLI));
+  }
+
+  @Test
+  void namingTheRateAgainDoesNotPutTheNextStartOff() {
+    rate.onNamed(2, 0);
+    for (long now = 0; now < 500 * MILLI; now += 50 * MILLI) {
+      rate.onNamed(2, now);
+    }
+
+    assertTrue(rate.mayStart(500 * MILLI));
+  }
+
+  /** Rates before and after, and when the next request starts if the last did at 10 s. */
+  @ParameterizedTest
+  @CsvSource({"2, 4, 10250", "4, 2, 10500"})
+  void aChangedRateCountsFromTheLastStart(double before, double after, long nextMillis) {
+    rate.onNamed(before, 0);
+    rate.onStart(10 * SECOND);
+    rate.onNamed(after, 10 * SECOND + MILLI);
+
+    assertFalse(rate.mayStart((nextMillis - 1) * MILLI));
+    assertTrue(rate.mayStart(nextMillis * MILLI));
+    assertEquals(OptionalDouble.of(after), rate.perSecond());
+  }
+
+  @Test
+  void refusedCallersAreSpreadOverTheNextStarts() {
+    rate.onNamed(2, 0);
+
+    assertEquals(500 * MILLI, rate.onRefused(0, 0));
+    assertEquals(1_000 * MILLI, rate.onRefused(0, 0));
+    rate.onStart(500 * MILLI);
+    assertEquals(500 * MILLI, rate.onRefused(0, 500 * MILLI));
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -46,6 +46,8 @@
   private final EventLog log;
   // Written under the lock, read without it.
   private volatile Optional<TargetLife.Report> open = Optional.empty();
+  // The last run that the target side was open for.
+  private Optional<TargetRun> newestRun = Optional.empty();
   private boolean leaving;
   private boolean stopping;
 
@@ -143,6 +145,10 @@
       if (!sameRun) {
         health.reset();
       }
+      if (!newestRun.equals(ready.map(TargetLife.Report::run))) {
+        newestRun = ready.map(TargetLife.Report::run);
+        targetSide.onNewRun();
+      }
       targetSide.open(limits(ready.get().serving().slots()));
     } else {
       targetSide.close(ResultCode.TARGET_ABSENT);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -193,6 +193,7 @@
         .setSlots(load.slots())
         .setServiceTimeMicros(load.serviceTimeNanos() / NANOS_PER_MICRO)
         .setDraining(load.draining())
+        .setStartWaitMicros(load.startWaitNanos() / NANOS_PER_MICRO)
         .build();
   }
 
@@ -202,7 +203,8 @@
         load.getQueued(),
         load.getSlots(),
         load.getServiceTimeMicros() * NANOS_PER_MICRO,
-        load.getDraining());
+        load.getDraining(),
+        load.getStartWaitMicros() * NANOS_PER_MICRO);
   }
 
   private static Header toMessage(HeaderField field) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
@@ -39,5 +39,7 @@
   public void onReplaced(TargetRun run) {}
 
   @Override
-  public void onNotice(TargetRun run, TargetNotice notice) {}
+  public boolean onNotice(TargetRun run, TargetNotice notice) {
+    return true;
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -92,12 +92,13 @@
   }
 
   @Override
-  public void onNotice(TargetRun run, TargetNotice notice) {
+  public boolean onNotice(TargetRun run, TargetNotice notice) {
     RunNotice current = new RunNotice(run, notice);
     if (!newestNotice.getAndSet(current).equals(current)) {
       log.info(
           "target-notice",
           () -> "run=" + run.id() + " limit=" + notice.limit() + " leaving=" + notice.leaving());
     }
+    return life.newest().map(TargetLife.Report::run).equals(Optional.of(run));
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -75,7 +75,8 @@
     long leftNanos = request.deadlineNanos() - time.nanos();
     while (leftNanos > 0) {
       try {
-        return decision.get(Math.min(leftNanos, Admission.SPEED_WAIT_NANOS), TimeUnit.NANOSECONDS);
+        long checkNanos = Math.min(leftNanos, admission.recheckNanos(time.nanos()));
+        return decision.get(checkNanos, TimeUnit.NANOSECONDS);
       } catch (TimeoutException e) {
         admission.recheck(time.nanos());
       } catch (ExecutionException e) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -34,8 +34,9 @@
  * Sends one committed request over one connection and reads the answer.
  *
  * <p>Confined to one thread, but for aborting the connection. The connection goes back to the pool
- * only after a whole answer; {@code whenDone} is called exactly once, after the answer was read or
- * given up.
+ * only after a whole answer; {@code onNotice} is called with the head of an answer of the target's
+ * own, before the answer is passed on; {@code whenDone} is called exactly once, after the answer
+ * was read or given up.
  */
 final class TargetExchange {
 
@@ -70,9 +71,8 @@
    *
    * @param kind how it ended
    * @param slowdown how much longer work takes at the target, if it said so
-   * @param notice what the target stated of itself; empty if no answer of its own came
    */
-  record End(Kind kind, OptionalDouble slowdown, Optional<TargetNotice> notice) {
+  record End(Kind kind, OptionalDouble slowdown) {
     /** {@return whether the time of the exchange tells how long the target works} */
     boolean tellsSpeed() {
       return kind == Kind.ANSWERED;
@@ -85,9 +85,9 @@
   private final TargetConnection connection;
   private final TargetConnections pool;
   private final TimeSource time;
+  private final Consumer<TargetNotice> onNotice;
   private final Consumer<End> whenDone;
   private OptionalDouble slowdown = OptionalDouble.empty();
-  private Optional<TargetNotice> notice = Optional.empty();
   private boolean passedOver;
   private boolean done;
 
@@ -98,6 +98,7 @@
       TargetConnection connection,
       TargetConnections pool,
       TimeSource time,
+      Consumer<TargetNotice> onNotice,
       Consumer<End> whenDone) {
     this.call = call;
     this.run = run;
@@ -105,6 +106,7 @@
     this.connection = connection;
     this.pool = pool;
     this.time = time;
+    this.onNotice = onNotice;
     this.whenDone = whenDone;
   }
 
@@ -142,7 +144,7 @@
     } else {
       connection.abort();
     }
-    whenDone.accept(new End(kind, slowdown, notice));
+    whenDone.accept(new End(kind, slowdown));
   }
 
   private void send(ClassicHttpRequest request) throws IOException, HttpException {
@@ -210,12 +212,12 @@
     slowdown = dialect.slowdown(own);
     return switch (dialect.judge(call.request(), own)) {
       case TargetDialect.Judgement.Answer answer -> {
-        notice = Optional.of(dialect.notice(own));
+        onNotice.accept(dialect.notice(own));
         yield answer(request, own);
       }
       case TargetDialect.Judgement.NotRun notRun -> {
         if (notRun.code() != ResultCode.TARGET_REPLACED) {
-          notice = Optional.of(dialect.notice(own));
+          onNotice.accept(dialect.notice(own));
         }
         yield refused(request, own, notRun.code());
       }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
@@ -76,6 +76,7 @@
    *
    * @param run the run that the request was handed to
    * @param notice what the answer states
+   * @return whether the run is the newest that is known
    */
-  void onNotice(TargetRun run, TargetNotice notice);
+  boolean onNotice(TargetRun run, TargetNotice notice);
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -25,6 +25,7 @@
 import org.amaranthmoor.target.Admission.Decision;
 import org.amaranthmoor.target.HomeDuty;
 import org.amaranthmoor.target.KeyLedger;
+import org.amaranthmoor.target.TargetNotice;
 
 /**
  * Stands in front of the target: admits, queues or refuses, and hands over.
@@ -239,10 +240,19 @@
             connection,
             connections,
             time,
+            notice -> onNotice(target.get(), notice, startNanos),
             end -> finish(waiter, target.get(), end, startNanos));
     return exchange.run();
   }
 
+  // What an earlier run stated says nothing of the one that takes requests now.
+  private void onNotice(TargetGate.Target target, TargetNotice notice, long startNanos) {
+    boolean current = target.run().map(run -> gate.onNotice(run, notice)).orElse(true);
+    if (current) {
+      admission.onLimit(notice.limit(), startNanos, time.nanos());
+    }
+  }
+
   private long connectNanos(CallRequest request) {
     return Math.min(CONNECT_NANOS, request.deadlineNanos() - time.nanos());
   }
@@ -293,7 +303,6 @@
                 + admission.describe(now)
                 + " slowdown="
                 + end.slowdown());
-    target.run().ifPresent(run -> end.notice().ifPresent(notice -> gate.onNotice(run, notice)));
     end.slowdown().ifPresent(factor -> admission.onSlowdown(factor, now));
     admission.release(waiter, end.tellsSpeed() ? now - startNanos : -1, now);
     switch (end.kind()) {
@@ -361,7 +370,7 @@
 
   /** {@return the exact load} */
   public LoadReport load() {
-    return admission.load();
+    return admission.load(time.nanos());
   }
 
   /** Refuses new work from now on; requests in progress go on. */
@@ -387,6 +396,11 @@
     admission.open(limits);
   }
 
+  /** Forgets what the target has stated of itself, as another run takes requests from now on. */
+  public void onNewRun() {
+    admission.forgetLimit();
+  }
+
   /**
    * Takes in how much longer the target stays slow after its start.
    *
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabRun.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/lab/LabRun.java
@@ -241,7 +241,7 @@
   }
 
   private double exactNanos(Call call, LabServer server, long now) {
-    LoadReport load = server.admission.load();
+    LoadReport load = server.admission.load(clock.nanos());
     double mean = Kind.meanServiceNanos(labCase.kinds());
     double waiting = Math.max(0, load.occupancy() + 1 - load.slots()) * mean / load.slots();
     long work = (long) (call.workNanos + waiting);
@@ -264,7 +264,7 @@
               result.probes++;
               LabServer server = servers.get(entry.servers.indexOf(view));
               long oneWay = oneWayNanos(entry, server);
-              clock.after(oneWay, () -> report(view, server.admission.load(), oneWay));
+              clock.after(oneWay, () -> report(view, server.admission.load(clock.nanos()), oneWay));
             });
   }
 
@@ -324,7 +324,7 @@
       if (call.ended) {
         result.wastedNanos += call.workNanos;
       }
-      LoadReport load = server.admission.load();
+      LoadReport load = server.admission.load(clock.nanos());
       long oneWay = oneWayNanos(call.entry, server);
       report(view, load, oneWay);
       clock.after(oneWay, () -> onAnswer(call, view, sentNanos, failsFast));
@@ -332,7 +332,7 @@
 
     @Override
     public void refused(Decision.Refused refusal) {
-      LoadReport load = server.admission.load();
+      LoadReport load = server.admission.load(clock.nanos());
       long oneWay = oneWayNanos(call.entry, server);
       report(view, load, oneWay);
       clock.after(
