Keep a target's stated rate across a restart of the node beside it

What callers saw: after a restart of the node beside a target in need, requests of other nodes, which had passed the target's statement on, reached it at full speed until it answered again.

Cause: only the node beside the target knew the rate, and its process had lost it. Class of fault: what a target states is lost with one process, although others have seen it.

Change: each answer, refusal and load report carries what the newest run of the target states, if it has stated anything to that process, also that a limit has ended. A node that passes an answer on remembers it (KnownNotices), and its requests carry it while it restricts anything. The node beside the target takes it over for the same run, and only until the target's first answer to the new process, which tells for itself. So whoever has passed the statement on is held to it by the first request.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -635,6 +635,26 @@
     notices.deliver();
   }
 
+  /**
+   * Takes in a rate that the target has stated to an earlier process of this node. Whatever the
+   * target has answered to this one overrides it.
+   *
+   * @param perSecond requests a second
+   * @param nowNanos the current time
+   * @return whether it has changed the rate
+   */
+  public synchronized boolean onRememberedLimit(double perSecond, long nowNanos) {
+    return rate.onRemembered(perSecond, nowNanos);
+  }
+
+  /**
+   * {@return what is known of the rate that the target states, also that it has ended; empty if it
+   * never stated one}
+   */
+  public synchronized Optional<TargetNotice.Limit> statedLimit() {
+    return rate.stated();
+  }
+
   /** Forgets the rate that the target has stated, as for a new run. */
   public synchronized void forgetLimit() {
     rate.reset();
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/StatedRate.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/StatedRate.java
@@ -1,5 +1,6 @@
 package org.amaranthmoor.target;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -8,8 +9,9 @@
  * <p>Answers a target in need: it names the requests a second that it takes from all nodes
  * together, and every request to it passes this one place. Invariants: while a rate is in force, at
  * most rate * t + max(1, rate * {@link #SAVED_SECONDS}) requests start in any t seconds; a rate
- * ends only with an answer to a request that was sent after the rate was last named. Not safe for
- * use by several threads by itself; {@link Admission} guards it.
+ * ends only with an answer to a request that was sent after the rate was last named. What other
+ * nodes remember counts only until the first answer. Not safe for use by several threads by itself;
+ * {@link Admission} guards it.
  */
 final class StatedRate {
 
@@ -25,6 +27,10 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   private OptionalDouble perSecond = OptionalDouble.empty();
+  // Whether an answer of the target has told whether it names a rate.
+  private boolean observed;
+  // Whether the rate has been named at all, be it over or not.
+  private boolean named;
   private long namedNanos;
   private long lastStartNanos;
   // Earliest time of the next start.
@@ -38,8 +44,30 @@
    * @param nowNanos when the answer arrived
    */
   void onNamed(double rate, long nowNanos) {
-    double effective = Math.max(LEAST_RATE, rate);
+    observed = true;
     namedNanos = nowNanos;
+    set(rate, nowNanos);
+  }
+
+  /**
+   * Takes in a rate that an earlier process was told of, as another node remembers it. It holds
+   * until the first answer, and until then the lowest of several counts.
+   *
+   * @param rate requests a second
+   * @param nowNanos the current time
+   * @return whether it has changed the rate
+   */
+  boolean onRemembered(double rate, long nowNanos) {
+    if (observed || (limits() && perSecond.getAsDouble() <= Math.max(LEAST_RATE, rate))) {
+      return false;
+    }
+    set(rate, nowNanos);
+    return true;
+  }
+
+  private void set(double rate, long nowNanos) {
+    named = true;
+    double effective = Math.max(LEAST_RATE, rate);
     if (perSecond.isPresent() && perSecond.getAsDouble() == effective) {
       return;
     }
@@ -57,7 +85,8 @@
    * @return whether a rate was in force and has ended
    */
   boolean onUnnamed(long sentNanos) {
-    boolean ends = perSecond.isPresent() && sentNanos - namedNanos > 0;
+    boolean ends = perSecond.isPresent() && (!observed || sentNanos - namedNanos > 0);
+    observed = true;
     if (ends) {
       perSecond = OptionalDouble.empty();
     }
@@ -67,6 +96,19 @@
   /** Forgets everything, as for a new run of the target. */
   void reset() {
     perSecond = OptionalDouble.empty();
+    observed = false;
+    named = false;
+  }
+
+  /** {@return what is known of the rate, also that it has ended; empty if none was ever named} */
+  Optional<TargetNotice.Limit> stated() {
+    if (!named) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        limits()
+            ? new TargetNotice.Limit.Rate(perSecond.getAsDouble())
+            : new TargetNotice.Limit.Unstated());
   }
 
   /** {@return the requests a second that are sent at most; empty without a limit} */
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/StatedRateTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/StatedRateTests.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -110,4 +112,42 @@
     rate.onStart(500 * MILLI);
     assertEquals(500 * MILLI, rate.onRefused(0, 500 * MILLI));
   }
+
+  @Nested
+  class WhenAnEarlierProcessWasToldTheRate {
+
+    @Test
+    void itHoldsUntilTheFirstAnswerWhichMayNameNone() {
+      assertTrue(rate.onRemembered(2, 10 * SECOND));
+      assertFalse(rate.mayStart(10 * SECOND + 499 * MILLI));
+      assertTrue(rate.mayStart(10 * SECOND + 500 * MILLI));
+
+      assertTrue(rate.onUnnamed(9 * SECOND));
+      assertFalse(rate.onRemembered(2, 11 * SECOND));
+      assertTrue(rate.mayStart(11 * SECOND));
+    }
+
+    @Test
+    void theLowestOfSeveralCountsUntilTheFirstAnswer() {
+      assertTrue(rate.onRemembered(3, 0));
+      assertTrue(rate.onRemembered(2, 0));
+      assertFalse(rate.onRemembered(3, 0));
+      assertEquals(OptionalDouble.of(2), rate.perSecond());
+
+      rate.onNamed(3, MILLI);
+      assertFalse(rate.onRemembered(2, MILLI));
+      assertEquals(OptionalDouble.of(3), rate.perSecond());
+    }
+
+    @Test
+    void anEndIsToldTooButNothingIfNoneWasEverNamed() {
+      assertEquals(Optional.empty(), rate.stated());
+      rate.onNamed(3, 0);
+      assertEquals(Optional.of(new TargetNotice.Limit.Rate(3)), rate.stated());
+      rate.onUnnamed(MILLI);
+      assertEquals(Optional.of(new TargetNotice.Limit.Unstated()), rate.stated());
+      rate.reset();
+      assertEquals(Optional.empty(), rate.stated());
+    }
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -67,6 +67,7 @@
 import org.amaranthmoor.target.HomeDuty;
 import org.amaranthmoor.target.Homes;
 import org.amaranthmoor.target.KeyLedger;
+import org.amaranthmoor.target.KnownNotices;
 
 /**
  * One node, put together and running.
@@ -136,7 +137,15 @@
     this.targetSide = createTargetSide();
     this.views = new EntryViews(settings.zone(), EntryViews.Policies.standard(), time);
     this.links =
-        new PeerLinks(identity, group, executor, views::onLoad, metrics, time, node -> false);
+        new PeerLinks(
+            identity,
+            group,
+            executor,
+            views::onLoad,
+            new KnownNotices(),
+            metrics,
+            time,
+            node -> false);
     NodeQueries queries =
         new NodeQueries(settings, identity, holder, duty, targetSide, views, time);
     // Waits are not measured here, so that no call is turned away.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -55,6 +55,7 @@
 import org.amaranthmoor.target.HomeDuty;
 import org.amaranthmoor.target.Homes;
 import org.amaranthmoor.target.KeyLedger;
+import org.amaranthmoor.target.KnownNotices;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLife;
 
@@ -189,7 +190,15 @@
                 spec -> RetryBudget.empty(spec.retryShare(), () -> retryBurst)),
             time);
     this.links =
-        new PeerLinks(identity, group, executor, views::onLoad, metrics, time, this::isFar);
+        new PeerLinks(
+            identity,
+            group,
+            executor,
+            views::onLoad,
+            new KnownNotices(),
+            metrics,
+            time,
+            this::isFar);
     this.shedder = new LoadShedder(time.nanos());
     TimedExecutor timed =
         new TimedExecutor(executor, delay -> shedder.onDelay(delay, time.nanos()), time);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -7,6 +7,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.Incarnation;
@@ -23,10 +24,14 @@
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.Header;
 import org.amaranthmoor.protocol.node.Load;
+import org.amaranthmoor.protocol.node.Notice;
 import org.amaranthmoor.protocol.node.OpenCall;
 import org.amaranthmoor.protocol.node.Probe;
 import org.amaranthmoor.protocol.node.Refused;
 import org.amaranthmoor.protocol.node.ResponseHead;
+import org.amaranthmoor.target.RunNotice;
+import org.amaranthmoor.target.TargetNotice;
+import org.amaranthmoor.target.TargetRun;
 
 /**
  * Converts calls and answers to frames and back.
@@ -46,7 +51,12 @@
   private Frames() {}
 
   static Frame openCall(
-      long stream, CallRequest request, Incarnation target, long offset, long nowNanos) {
+      long stream,
+      CallRequest request,
+      Incarnation target,
+      Optional<RunNotice> remembered,
+      long offset,
+      long nowNanos) {
     OpenCall.Builder open =
         OpenCall.newBuilder()
             .setStream(stream)
@@ -67,6 +77,7 @@
             .setObjectiveMicros((request.objectiveNanos() - nowNanos) / NANOS_PER_MICRO)
             .setPatiencePercent(request.patiencePercent())
             .setNeeded(request.needed());
+    remembered.ifPresent(notice -> open.setRemembered(toMessage(notice)));
     request.key().ifPresent(key -> open.setIdempotencyKey(key.toString()));
     request.headers().forEach(header -> open.addHeaders(toMessage(header)));
     return Frame.newBuilder().setOpenCall(open).build();
@@ -138,35 +149,35 @@
     return Frame.newBuilder().setCancel(Cancel.newBuilder().setStream(stream)).build();
   }
 
-  static Frame refused(long stream, Outcome.NotRun<?> notRun, LoadReport load) {
+  static Frame refused(long stream, Outcome.NotRun<?> notRun, TargetSide.Status status) {
     Refused refused =
         Refused.newBuilder()
             .setStream(stream)
             .setCode(notRun.code().number())
             .setRetryAfterMillis((int) notRun.retryAfterMillis())
             .setDetail(notRun.detail())
-            .setLoad(toMessage(load))
+            .setLoad(toMessage(status))
             .build();
     return Frame.newBuilder().setRefused(refused).build();
   }
 
-  static Frame failed(long stream, ResultCode code, String detail, LoadReport load) {
+  static Frame failed(long stream, ResultCode code, String detail, TargetSide.Status status) {
     Failed failed =
         Failed.newBuilder()
             .setStream(stream)
             .setCode(code.number())
             .setDetail(detail)
-            .setLoad(toMessage(load))
+            .setLoad(toMessage(status))
             .build();
     return Frame.newBuilder().setFailed(failed).build();
   }
 
-  static Frame responseHead(long stream, CallResponse response, LoadReport load) {
+  static Frame responseHead(long stream, CallResponse response, TargetSide.Status status) {
     ResponseHead.Builder head =
         ResponseHead.newBuilder()
             .setStream(stream)
             .setStatus(response.status())
-            .setLoad(toMessage(load));
+            .setLoad(toMessage(status));
     response.headers().forEach(header -> head.addHeaders(toMessage(header)));
     switch (response.body()) {
       case CallResponse.Body.Whole whole ->
@@ -186,6 +197,12 @@
         Optional.of(toLoad(head.getLoad())));
   }
 
+  static Load toMessage(TargetSide.Status status) {
+    Load.Builder message = toMessage(status.load()).toBuilder();
+    status.notice().ifPresent(notice -> message.setNotice(toMessage(notice)));
+    return message.build();
+  }
+
   static Load toMessage(LoadReport load) {
     return Load.newBuilder()
         .setInFlight(load.inFlight())
@@ -197,6 +214,38 @@
         .build();
   }
 
+  private static Notice toMessage(RunNotice notice) {
+    Notice.Builder message =
+        Notice.newBuilder()
+            .setRunId(notice.run().id())
+            .setRunStartedMillis(notice.run().startedMillis())
+            .setLeaving(notice.notice().leaving());
+    if (notice.notice().limit() instanceof TargetNotice.Limit.Rate rate) {
+      message.setRequestsPerSecond(rate.requestsPerSecond());
+    }
+    return message.build();
+  }
+
+  /** {@return what a load message says of the target's notice, if it says anything} */
+  static Optional<RunNotice> notice(Load load) {
+    return load.hasNotice() ? Optional.of(toNotice(load.getNotice())) : Optional.empty();
+  }
+
+  /** {@return what the sender of a call remembers of the target's notice, if anything} */
+  static Optional<RunNotice> remembered(OpenCall open) {
+    return open.hasRemembered() ? Optional.of(toNotice(open.getRemembered())) : Optional.empty();
+  }
+
+  private static RunNotice toNotice(Notice message) {
+    TargetNotice.Limit limit =
+        message.hasRequestsPerSecond()
+            ? new TargetNotice.Limit.Rate(message.getRequestsPerSecond())
+            : new TargetNotice.Limit.Unstated();
+    return new RunNotice(
+        new TargetRun(message.getRunId(), message.getRunStartedMillis()),
+        new TargetNotice(limit, message.getLeaving()));
+  }
+
   static LoadReport toLoad(Load load) {
     return new LoadReport(
         load.getInFlight(),
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -62,15 +62,15 @@
     requestBody.close();
     switch (outcome) {
       case Outcome.NotRun<CallResponse> notRun ->
-          send(Frames.refused(id, notRun, targetSide.load()));
+          send(Frames.refused(id, notRun, targetSide.status()));
       case Outcome.Unknown<CallResponse> unknown ->
-          send(Frames.failed(id, unknown.code(), unknown.detail(), targetSide.load()));
+          send(Frames.failed(id, unknown.code(), unknown.detail(), targetSide.status()));
       case Outcome.Answered<CallResponse> answered -> sendAnswer(answered.response());
     }
   }
 
   private void sendAnswer(CallResponse response) {
-    send(Frames.responseHead(id, response, targetSide.load()));
+    send(Frames.responseHead(id, response, targetSide.status()));
     if (response.body() instanceof CallResponse.Body.Streamed streamed) {
       try (InputStream body = streamed.stream()) {
         sendBody(body);
@@ -97,7 +97,7 @@
   }
 
   private void fail(String detail) {
-    send(Frames.failed(id, ResultCode.TARGET_BROKE_OFF, detail, targetSide.load()));
+    send(Frames.failed(id, ResultCode.TARGET_BROKE_OFF, detail, targetSide.status()));
   }
 
   private void send(Frame frame) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -18,7 +18,9 @@
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.Hello;
+import org.amaranthmoor.protocol.node.Load;
 import org.amaranthmoor.protocol.node.StateReply;
+import org.amaranthmoor.target.RunNotice;
 
 /**
  * One TCP connection to another node's target side.
@@ -34,6 +36,9 @@
     /** Takes in a load report of the link's node. */
     void onLoad(PeerAddress address, LoadReport load);
 
+    /** Takes in what the target beside the link's node states of itself. */
+    void onNotice(PeerAddress address, RunNotice notice);
+
     /** Finds out what became of a request whose link was lost, and completes its stream. */
     void settleLost(PeerLink link, ClientStream stream);
 
@@ -92,13 +97,16 @@
   }
 
   /** Opens a stream, or returns empty if the link cannot carry it, and then nothing was sent. */
-  Optional<ClientStream> open(CallRequest request, long configOffset, long nowNanos) {
+  Optional<ClientStream> open(
+      CallRequest request, Optional<RunNotice> remembered, long configOffset, long nowNanos) {
     if (!usable()) {
       return Optional.empty();
     }
     ClientStream stream = new ClientStream(nextId.incrementAndGet(), this, request.idempotent());
     streams.put(stream.id(), stream);
-    send(Frames.openCall(stream.id(), request, address.incarnation(), configOffset, nowNanos));
+    send(
+        Frames.openCall(
+            stream.id(), request, address.incarnation(), remembered, configOffset, nowNanos));
     if (lost && streams.remove(stream.id()) != null) {
       owner.settleLost(this, stream);
     }
@@ -171,16 +179,16 @@
     receivedNanos = owner.nanos();
     switch (frame.getBodyCase()) {
       case REFUSED -> {
-        owner.onLoad(address, Frames.toLoad(frame.getRefused().getLoad()));
+        onLoad(frame.getRefused().getLoad());
         stream(frame.getRefused().getStream()).ifPresent(s -> s.onRefused(frame.getRefused()));
       }
       case RESPONSE_HEAD -> {
-        owner.onLoad(address, Frames.toLoad(frame.getResponseHead().getLoad()));
+        onLoad(frame.getResponseHead().getLoad());
         stream(frame.getResponseHead().getStream())
             .ifPresent(s -> s.onHead(frame.getResponseHead()));
       }
       case FAILED -> {
-        owner.onLoad(address, Frames.toLoad(frame.getFailed().getLoad()));
+        onLoad(frame.getFailed().getLoad());
         stream(frame.getFailed().getStream()).ifPresent(s -> s.onFailed(frame.getFailed()));
       }
       case DATA -> stream(frame.getData().getStream()).ifPresent(s -> s.onData(frame));
@@ -189,7 +197,7 @@
               .ifPresent(s -> s.onCredit(frame.getCredit().getBytes()));
       case SETTLED -> reply(frame.getSettled().getQuery(), frame);
       case PROBE_REPLY -> {
-        owner.onLoad(address, Frames.toLoad(frame.getProbeReply().getLoad()));
+        onLoad(frame.getProbeReply().getLoad());
         answerIfAsked(frame.getProbeReply().getQuery(), frame);
       }
       case STATE_REPLY -> onPiece(frame.getStateReply());
@@ -199,6 +207,11 @@
     }
   }
 
+  private void onLoad(Load load) {
+    owner.onLoad(address, Frames.toLoad(load));
+    Frames.notice(load).ifPresent(notice -> owner.onNotice(address, notice));
+  }
+
   // Completes the query with one reply that holds all pieces.
   private void onPiece(StateReply reply) {
     long query = reply.getQuery();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -32,6 +32,8 @@
 import org.amaranthmoor.protocol.node.Hello;
 import org.amaranthmoor.protocol.node.Settle;
 import org.amaranthmoor.protocol.node.Settled;
+import org.amaranthmoor.target.KnownNotices;
+import org.amaranthmoor.target.RunNotice;
 
 /**
  * Keeps one link to each node that calls or queries go to.
@@ -69,6 +71,7 @@
   private final EventLoopGroup group;
   private final ExecutorService executor;
   private final LoadListener loadListener;
+  private final KnownNotices notices;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final Predicate<NodeName> isFar;
@@ -85,6 +88,7 @@
    * @param group event loops of the channels
    * @param executor runs settlements
    * @param loadListener takes in load reports
+   * @param notices remembers what targets state
    * @param metrics counts what links see
    * @param time the time
    * @param isFar whether a node is in another availability zone, so that its link is compressed
@@ -94,6 +98,7 @@
       EventLoopGroup group,
       ExecutorService executor,
       LoadListener loadListener,
+      KnownNotices notices,
       NodeMetrics metrics,
       TimeSource time,
       Predicate<NodeName> isFar) {
@@ -101,6 +106,7 @@
     this.group = group;
     this.executor = executor;
     this.loadListener = loadListener;
+    this.notices = notices;
     this.metrics = metrics;
     this.time = time;
     this.isFar = isFar;
@@ -116,7 +122,9 @@
    */
   public Optional<Exchange> open(PeerAddress address, CallRequest request, long configOffset) {
     return link(address)
-        .flatMap(link -> link.open(request, configOffset, time.nanos()))
+        .flatMap(
+            link ->
+                link.open(request, notices.restriction(address.node()), configOffset, time.nanos()))
         .map(Exchange.class::cast);
   }
 
@@ -294,6 +302,11 @@
       loadListener.onLoad(address, load);
     }
 
+    @Override
+    public void onNotice(PeerAddress address, RunNotice notice) {
+      notices.onNotice(address.node(), notice);
+    }
+
     @Override
     public long nanos() {
       return time.nanos();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -136,6 +136,7 @@
         channel.close();
         return;
       }
+      Frames.remembered(open).ifPresent(targetSide::onRemembered);
       CallRequest request = Frames.toRequest(open, time.nanos());
       Optional<ResultCode> refusal = refusal(open);
       HandOver handOver = ledger.register(id.get(), open.getStream());
@@ -145,7 +146,7 @@
       if (refusal.isPresent()) {
         handOver.fence();
         Outcome.NotRun<?> notRun = new Outcome.NotRun<>(refusal.get(), 0, "not admitted");
-        channel.writeAndFlush(Frames.refused(open.getStream(), notRun, targetSide.load()));
+        channel.writeAndFlush(Frames.refused(open.getStream(), notRun, targetSide.status()));
         return;
       }
       InboundStream stream =
@@ -194,7 +195,7 @@
       ProbeReply reply =
           ProbeReply.newBuilder()
               .setQuery(query)
-              .setLoad(Frames.toMessage(targetSide.load()))
+              .setLoad(Frames.toMessage(targetSide.status()))
               .build();
       Frame frame = Frame.newBuilder().setProbeReply(reply).build();
       metrics.controlBytes(frame.getSerializedSize());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
@@ -39,7 +39,10 @@
   public void onReplaced(TargetRun run) {}
 
   @Override
-  public boolean onNotice(TargetRun run, TargetNotice notice) {
-    return true;
+  public void onNotice(TargetRun run, TargetNotice notice) {}
+
+  @Override
+  public Optional<TargetRun> newestRun() {
+    return Optional.empty();
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -6,6 +6,7 @@
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.RunNotice;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLife;
 import org.amaranthmoor.target.TargetNotice;
@@ -25,8 +26,6 @@
   private final AtomicReference<RunNotice> newestNotice =
       new AtomicReference<>(new RunNotice(new TargetRun("", 0), TargetNotice.NONE));
 
-  private record RunNotice(TargetRun run, TargetNotice notice) {}
-
   /**
    * Creates a gate.
    *
@@ -92,13 +91,17 @@
   }
 
   @Override
-  public boolean onNotice(TargetRun run, TargetNotice notice) {
+  public void onNotice(TargetRun run, TargetNotice notice) {
     RunNotice current = new RunNotice(run, notice);
     if (!newestNotice.getAndSet(current).equals(current)) {
       log.info(
           "target-notice",
           () -> "run=" + run.id() + " limit=" + notice.limit() + " leaving=" + notice.leaving());
     }
-    return life.newest().map(TargetLife.Report::run).equals(Optional.of(run));
+  }
+
+  @Override
+  public Optional<TargetRun> newestRun() {
+    return life.newest().map(TargetLife.Report::run);
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
@@ -76,7 +76,9 @@
    *
    * @param run the run that the request was handed to
    * @param notice what the answer states
-   * @return whether the run is the newest that is known
    */
-  boolean onNotice(TargetRun run, TargetNotice notice);
+  void onNotice(TargetRun run, TargetNotice notice);
+
+  /** {@return the newest run that is known, or empty if runs are not told apart} */
+  Optional<TargetRun> newestRun();
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -25,6 +25,7 @@
 import org.amaranthmoor.target.Admission.Decision;
 import org.amaranthmoor.target.HomeDuty;
 import org.amaranthmoor.target.KeyLedger;
+import org.amaranthmoor.target.RunNotice;
 import org.amaranthmoor.target.TargetNotice;
 
 /**
@@ -247,8 +248,8 @@
 
   // What an earlier run stated says nothing of the one that takes requests now.
   private void onNotice(TargetGate.Target target, TargetNotice notice, long startNanos) {
-    boolean current = target.run().map(run -> gate.onNotice(run, notice)).orElse(true);
-    if (current) {
+    target.run().ifPresent(run -> gate.onNotice(run, notice));
+    if (target.run().equals(gate.newestRun())) {
       admission.onLimit(notice.limit(), startNanos, time.nanos());
     }
   }
@@ -396,6 +397,42 @@
     admission.open(limits);
   }
 
+  /**
+   * Takes in what the target has stated to an earlier process of this node.
+   *
+   * @param remembered what another node remembers of it
+   */
+  public void onRemembered(RunNotice remembered) {
+    boolean current = gate.newestRun().equals(Optional.of(remembered.run()));
+    if (current
+        && remembered.notice().limit() instanceof TargetNotice.Limit.Rate rate
+        && admission.onRememberedLimit(rate.requestsPerSecond(), time.nanos())) {
+      log.info(
+          "target-notice-remembered",
+          () -> "run=" + remembered.run().id() + " limit=" + rate.requestsPerSecond());
+    }
+  }
+
+  /**
+   * Load of a target side and what its target states.
+   *
+   * @param load the exact load
+   * @param notice what the newest run states, if it has stated anything to this process
+   */
+  public record Status(LoadReport load, Optional<RunNotice> notice) {}
+
+  /** {@return what other nodes are told with each answer} */
+  public Status status() {
+    return new Status(
+        load(),
+        gate.newestRun()
+            .flatMap(
+                run ->
+                    admission
+                        .statedLimit()
+                        .map(limit -> new RunNotice(run, new TargetNotice(limit, false)))));
+  }
+
   /** Forgets what the target has stated of itself, as another run takes requests from now on. */
   public void onNewRun() {
     admission.forgetLimit();
