Ask a server again that has opened since it said that it drains

What callers saw: requests are refused without asking anybody, for good, although the target takes requests: it was closed and open again, as for another run of it, within one period of gossip, and a refusal meanwhile had said that it drains.

Cause: ServerStats.draining looked at the newest report, however old; without requests no newer one comes, and the statistics live on as the server never left the view.

PickerTests.picksAServerAgainThatHasOpenedSinceItDrained failed before.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/Picker.java
@@ -80,7 +80,7 @@
     List<Server> healthy = new ArrayList<>(servers.size());
     List<Server> ejected = new ArrayList<>();
     for (Server server : servers) {
-      if (tried.contains(server) || server.stats().draining()) {
+      if (tried.contains(server) || server.stats().draining(nowNanos)) {
         continue;
       }
       boolean held = Ejection.holdsBack(server.stats(), nowNanos);
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/balance/ServerStats.java
@@ -206,10 +206,16 @@
     return firstSeenNanos;
   }
 
-  /** {@return whether the newest report says that the server drains} */
-  public boolean draining() {
+  /**
+   * Returns whether the server drains. An old report does not count: the server may have opened
+   * again since, and without requests no newer report comes.
+   *
+   * @param nowNanos the current time
+   * @return whether the newest report says so and is young
+   */
+  public boolean draining(long nowNanos) {
     StampedReport last = report.get();
-    return last != null && last.load.draining();
+    return last != null && last.load.draining() && nowNanos - last.atNanos <= MAX_REPORT_AGE_NANOS;
   }
 
   /**
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PickerTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/balance/PickerTests.java
@@ -40,6 +40,18 @@
     assertEquals(Optional.of(servers.get(2)), pick(Set.of()));
   }
 
+  @Test
+  void picksAServerAgainThatHasOpenedSinceItDrained() {
+    Server server = servers.getFirst();
+    server.stats().onReport(new LoadReport(0, 0, 6, MILLI, true, 0), Servers.NOW);
+    Set<Server> others = Set.copyOf(servers.subList(1, servers.size()));
+
+    assertEquals(Optional.empty(), pick(others));
+
+    long later = Servers.NOW + ServerStats.MAX_REPORT_AGE_NANOS + 1;
+    assertEquals(Optional.of(server), picker.pick(servers, others, later, new SplittableRandom(1)));
+  }
+
   @Test
   void usesAnEjectedServerIfNoOtherIsLeft() {
     Servers.fail(servers, servers.getFirst(), 20);
