Hand nothing more to a target that states in an answer that it leaves

What callers saw: a target that leaves says so in its answers as well as in its reports; nodes read only the reports, so that requests went on to it after such an answer if its report was lost, late, or acknowledged by a process that was then killed.

Cause and class: as with the stated rate, what a target states in its answers about all its callers is ignored, and what one process knows of it is lost with it.

Evidence: four tests of TargetNoticePathTests.WhenTheTargetStatesThatItLeaves failed before; the target got every request.

Change: the statement closes the target side at once and is kept in the shared records, as a reported leave is; the two are one fact, and whoever acknowledges the report waits for a write that the statement has begun. It travels with answers and is remembered by the nodes that pass them on, whose requests carry it: after a restart of the node beside the target that the store does not know of, they bring it back before they are admitted. An answer is attributed to the run that the request was handed to, so another run in the same place is served.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetLife.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetLife.java
@@ -110,20 +110,32 @@
     return report.run().startedMillis() < known.run().startedMillis();
   }
 
-  private void addGone(TargetRun run) {
-    gone.add(run);
+  private boolean addGone(TargetRun run) {
+    boolean added = gone.add(run);
     if (gone.size() > MAX_GONE) {
       gone.remove(gone.iterator().next());
     }
+    return added;
   }
 
   /**
    * Notes that a run has left, was acknowledged to leave before, or has lost its address.
    *
    * @param run the run
+   * @return whether this was not known
    */
-  public synchronized void onGone(TargetRun run) {
-    addGone(run);
+  public synchronized boolean onGone(TargetRun run) {
+    return addGone(run);
+  }
+
+  /**
+   * Returns whether a run takes no requests any more.
+   *
+   * @param run the run
+   * @return whether it leaves or has left, whatever told so
+   */
+  public synchronized boolean isGone(TargetRun run) {
+    return gone.contains(run);
   }
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -202,6 +202,8 @@
    * @param run the run
    */
   void keepLeft(TargetRun run) {
+    Optional<String> failure;
+    // Whoever keeps the same run at the same time waits for this write.
     synchronized (writing) {
       if (leftRuns.contains(run)) {
         return;
@@ -210,8 +212,8 @@
       if (leftRuns.size() > MAX_LEFT_RUNS) {
         leftRuns.removeFirst();
       }
+      failure = write();
     }
-    Optional<String> failure = write();
     if (failure.isPresent()) {
       log.warn(
           "leave-not-kept", () -> "run=" + run.id() + " detail=" + EventLog.quote(failure.get()));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -58,6 +58,7 @@
 import org.amaranthmoor.target.KnownNotices;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLife;
+import org.amaranthmoor.target.TargetRun;
 
 /**
  * One node of a mesh, put together and running.
@@ -261,7 +262,7 @@
         admission,
         new KeyLedger<>(1, 1, answer -> 0),
         new AtomicReference<>(noDuty),
-        new RegisteredTarget(life, health, log),
+        new RegisteredTarget(life, health, this::onLeaveFound, log),
         dialect,
         connections,
         metrics,
@@ -269,6 +270,11 @@
         log);
   }
 
+  // Keeping the leave may take as long as a write to the shared records.
+  private void onLeaveFound(TargetRun run) {
+    executor.execute(() -> tasks.run(() -> registry.onLeave(run)));
+  }
+
   private Optional<TargetProbe.Question> speedQuestion() {
     Optional<TargetLife.Report> report = life.ready(time.nanos());
     Optional<String> path =
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/FixedTarget.java
@@ -41,6 +41,14 @@
   @Override
   public void onNotice(TargetRun run, TargetNotice notice) {}
 
+  @Override
+  public void onLeaving(TargetRun run) {}
+
+  @Override
+  public boolean isLeaving(TargetRun run) {
+    return false;
+  }
+
   @Override
   public Optional<TargetRun> newestRun() {
     return Optional.empty();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
@@ -22,6 +23,7 @@
 
   private final TargetLife life;
   private final TargetHealth health;
+  private final Consumer<TargetRun> whenLeft;
   private final EventLog log;
   private final AtomicReference<RunNotice> newestNotice =
       new AtomicReference<>(new RunNotice(new TargetRun("", 0), TargetNotice.NONE));
@@ -31,11 +33,14 @@
    *
    * @param life what the target has said
    * @param health how it answers
+   * @param whenLeft called once a run is found to leave without its own report; must not block
    * @param log told what is believed of the target
    */
-  public RegisteredTarget(TargetLife life, TargetHealth health, EventLog log) {
+  public RegisteredTarget(
+      TargetLife life, TargetHealth health, Consumer<TargetRun> whenLeft, EventLog log) {
     this.life = life;
     this.health = health;
+    this.whenLeft = whenLeft;
     this.log = log;
   }
 
@@ -98,6 +103,21 @@
           "target-notice",
           () -> "run=" + run.id() + " limit=" + notice.limit() + " leaving=" + notice.leaving());
     }
+    if (notice.leaving()) {
+      onLeaving(run);
+    }
+  }
+
+  @Override
+  public void onLeaving(TargetRun run) {
+    if (life.onGone(run)) {
+      whenLeft.accept(run);
+    }
+  }
+
+  @Override
+  public boolean isLeaving(TargetRun run) {
+    return life.isGone(run);
   }
 
   @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetGate.java
@@ -79,6 +79,21 @@
    */
   void onNotice(TargetRun run, TargetNotice notice);
 
+  /**
+   * Takes in that a run leaves, so that nothing more is handed to it.
+   *
+   * @param run the run
+   */
+  void onLeaving(TargetRun run);
+
+  /**
+   * Returns whether a run takes no requests any more.
+   *
+   * @param run the run
+   * @return whether it leaves or has left
+   */
+  boolean isLeaving(TargetRun run);
+
   /** {@return the newest run that is known, or empty if runs are not told apart} */
   Optional<TargetRun> newestRun();
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -27,6 +27,7 @@
 import org.amaranthmoor.target.KeyLedger;
 import org.amaranthmoor.target.RunNotice;
 import org.amaranthmoor.target.TargetNotice;
+import org.amaranthmoor.target.TargetRun;
 
 /**
  * Stands in front of the target: admits, queues or refuses, and hands over.
@@ -403,6 +404,9 @@
    * @param remembered what another node remembers of it
    */
   public void onRemembered(RunNotice remembered) {
+    if (remembered.notice().leaving()) {
+      gate.onLeaving(remembered.run());
+    }
     boolean current = gate.newestRun().equals(Optional.of(remembered.run()));
     if (current
         && remembered.notice().limit() instanceof TargetNotice.Limit.Rate rate
@@ -417,20 +421,23 @@
    * Load of a target side and what its target states.
    *
    * @param load the exact load
-   * @param notice what the newest run states, if it has stated anything to this process
+   * @param notice what the newest run states, if it has stated a limit to this process or leaves
    */
   public record Status(LoadReport load, Optional<RunNotice> notice) {}
 
   /** {@return what other nodes are told with each answer} */
   public Status status() {
-    return new Status(
-        load(),
-        gate.newestRun()
-            .flatMap(
-                run ->
-                    admission
-                        .statedLimit()
-                        .map(limit -> new RunNotice(run, new TargetNotice(limit, false)))));
+    return new Status(load(), gate.newestRun().flatMap(this::notice));
+  }
+
+  private Optional<RunNotice> notice(TargetRun run) {
+    Optional<TargetNotice.Limit> limit = admission.statedLimit();
+    boolean leaving = gate.isLeaving(run);
+    return limit.isEmpty() && !leaving
+        ? Optional.empty()
+        : Optional.of(
+            new RunNotice(
+                run, new TargetNotice(limit.orElseGet(TargetNotice.Limit.Unstated::new), leaving)));
   }
 
   /** Forgets what the target has stated of itself, as another run takes requests from now on. */
