--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshLab.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshLab.java
@@ -58,6 +58,7 @@
         burst("burst, no phases", 1.6, NO_PHASES),
         new Pattern("one target left", threeServices(1, SHORT_PHASES), MeshLab::oneLeft, 12),
         powerLoss(),
+        statedRate(),
         new Pattern(
             "power lost, one target left",
             threeServices(1, SHORT_PHASES),
@@ -74,6 +75,15 @@
         "power lost", threeServices(1.1, SHORT_PHASES), model -> model.powerLoss(4, 1.2), 14);
   }
 
+  /** {@return the targets of one availability zone state a rate far below what they could do} */
+  public static Pattern statedRate() {
+    return new Pattern(
+        "a zone's targets state a rate",
+        threeServices(0.8, SHORT_PHASES),
+        model -> model.limit(2, 0, 2.4),
+        14);
+  }
+
   private static void oneLeft(MeshModel model) {
     model.keepTargets(2, SMALLEST_SERVICE, 1);
   }
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshModel.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshModel.java
@@ -20,6 +20,7 @@
 import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.model.TargetName;
 import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.TargetNotice;
 
 /**
  * Runs requests through a model of the mesh: callers that come back once, entry sides that place,
@@ -41,7 +42,6 @@
   private static final long START_NANOS = 750 * MeshClock.MILLI;
   private static final long START_SPREAD_NANOS = 300 * MeshClock.MILLI;
   private static final long JOIN_NANOS = 120 * MeshClock.MILLI;
-  private static final long RECHECK_NANOS = Admission.SPEED_WAIT_NANOS;
 
   private final MeshShape shape;
   private final MeshClock clock = new MeshClock();
@@ -168,6 +168,28 @@
     return this;
   }
 
+  /**
+   * Lets the targets of a service in the first availability zone state a rate of requests, from a
+   * moment on.
+   *
+   * @param atSeconds when
+   * @param service number of the service
+   * @param perSecond requests a second that each of them takes
+   * @return this model
+   */
+  public MeshModel limit(double atSeconds, int service, double perSecond) {
+    at(
+        atSeconds,
+        () ->
+            entries.stream()
+                .map(entry -> entry.node)
+                .filter(
+                    node ->
+                        node.service == service && node.zone.equals(entries.getFirst().node.zone))
+                .forEach(node -> node.statedLimit = new TargetNotice.Limit.Rate(perSecond)));
+    return this;
+  }
+
   private void at(double seconds, Runnable action) {
     clock.at((long) ((1 + seconds) * MeshClock.SECOND), action);
   }
@@ -412,7 +434,7 @@
 
     private void recheckLater(Admission admission) {
       clock.after(
-          RECHECK_NANOS,
+          admission.recheckNanos(clock.now()),
           () -> {
             if (!decided && node.admission == admission && clock.now() < call.deadline) {
               admission.recheck(clock.now());
@@ -471,6 +493,7 @@
 
     private void end(Admission admission, long start, boolean well) {
       node.endWork();
+      admission.onLimit(node.statedLimit, start, clock.now());
       admission.onSlowdown(node.reportedFactor(), clock.now());
       admission.release(this, clock.now() - start, clock.now());
       back(
@@ -490,6 +513,9 @@
     }
 
     private void back(Runnable action) {
+      if (node.statedLimit instanceof TargetNotice.Limit.Rate) {
+        choice.server().stats().onReport(node.admission.load(clock.now()), clock.now());
+      }
       if (delay == 0) {
         action.run();
       } else {
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshNodeModel.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshNodeModel.java
@@ -5,6 +5,7 @@
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.TargetNotice;
 
 /**
  * A node with its processor and the target beside it. Confined to one thread.
@@ -43,6 +44,7 @@
   private final MeshShape shape;
   Admission admission;
   LoadShedder shedder;
+  TargetNotice.Limit statedLimit = new TargetNotice.Limit.Unstated();
   boolean up = true;
   int life;
   private int running;
--- a/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/mesh/MeshLabTests.java
+++ b/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/mesh/MeshLabTests.java
@@ -40,6 +40,14 @@
     assertTrue(result.worstKind() >= 0.5, result.render());
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void nearlyAllIsServedWhereOtherZonesHaveRoomForWhatStatedRatesLeave(long seed) {
+    MeshResult result = MeshLab.run(MeshLab.statedRate(), seed);
+
+    assertTrue(result.served() >= 0.95, result.render());
+  }
+
   @Test
   void allPatternsAreInTheTable() {
     String table = MeshLab.table(1);
