Use a connection to a target no longer than its stated idle time

What callers saw: 502 for a request that may be repeated, sent on a connection that the target had just closed.

Evidence: NodePathTests.aConnectionIsNotUsedAgainOnceItHasBeenIdleForAsLongAsTheServerStates got 502 before, for a target that closes after 1 s and says so.

Change: each answer's Keep-Alive is read; a connection is used again within 0.8 of the stated time.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -3,11 +3,16 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.Iterator;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.amaranthmoor.daemon.settings.Endpoint;
+import org.apache.hc.core5.http.HeaderElement;
+import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.http.message.MessageSupport;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
@@ -19,11 +24,21 @@
 final class TargetConnection extends DefaultBHttpClientConnection {
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final String KEEP_ALIVE = "Keep-Alive";
+  private static final Pattern WHOLE_SECONDS = Pattern.compile("[0-9]{1,6}");
+
+  /**
+   * Share of the stated idle time in which a connection is used again, as the target's time begins
+   * earlier and a request takes time to arrive.
+   */
+  private static final double USABLE_IDLE_SHARE = 0.8;
 
   private final Socket socket;
   private final Endpoint address;
   private Optional<SessionInputBuffer> buffer = Optional.empty();
   private long idleSinceNanos;
+  private long statedIdleNanos = Long.MAX_VALUE;
 
   private TargetConnection(Socket socket, Endpoint address) {
     super(Http1Config.DEFAULT);
@@ -78,6 +93,25 @@
     return idleSinceNanos;
   }
 
+  /** Takes in after how long without a request the target closes the connection, if it says so. */
+  void takeKeepAlive(HttpMessage response) {
+    Iterator<HeaderElement> parameters = MessageSupport.iterate(response, KEEP_ALIVE);
+    while (parameters.hasNext()) {
+      HeaderElement parameter = parameters.next();
+      String value = parameter.getValue();
+      if (parameter.getName().equalsIgnoreCase("timeout")
+          && value != null
+          && WHOLE_SECONDS.matcher(value).matches()) {
+        statedIdleNanos = Long.parseLong(value) * NANOS_PER_SECOND;
+      }
+    }
+  }
+
+  /** {@return how long the connection may be idle and still carry a request, in nanoseconds} */
+  long usableIdleNanos() {
+    return (long) (statedIdleNanos * USABLE_IDLE_SHARE);
+  }
+
   void abort() {
     close(CloseMode.IMMEDIATE);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnections.java
@@ -52,7 +52,8 @@
         repeatable ? idleNanos : Math.min(idleNanos, MAX_IDLE_FOR_UNREPEATABLE_NANOS);
     TargetConnection connection = idle.pollFirst();
     while (connection != null) {
-      boolean young = time.nanos() - connection.idleSince() <= maxIdleNanos;
+      long usableNanos = Math.min(maxIdleNanos, connection.usableIdleNanos());
+      boolean young = time.nanos() - connection.idleSince() <= usableNanos;
       if (young && connection.address().equals(address) && connection.isClean()) {
         return connection;
       }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -209,6 +209,7 @@
   private Outcome<CallResponse> toOutcome(ClassicHttpRequest request, ClassicHttpResponse response)
       throws IOException, HttpException {
     ClassicHttpResponse own = passOverForeign(request, response);
+    connection.takeKeepAlive(own);
     slowdown = dialect.slowdown(own);
     return switch (dialect.judge(call.request(), own)) {
       case TargetDialect.Judgement.Answer answer -> {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -145,6 +145,7 @@
       connection.flush();
       ClassicHttpResponse response = connection.receiveResponseHeader();
       connection.receiveResponseEntity(response);
+      connection.takeKeepAlive(response);
       whole = isWhole(response.getEntity()) && TargetExchange.keepsAlive(request, response);
       return dialect.isHealthAnswer(response) ? dialect.slowdown(response) : OptionalDouble.empty();
     } finally {
