Tell callers to come back no sooner than a limited target may start a request

What callers saw: refused for a target's stated rate, they were told to come back at a time that knew nothing of it, before the target may start a request again.

Cause: the return time is drawn from the objective and the deadline alone; the time that the target side names was not used. Evidence: by reading; by its formula a caller with 500 ms to its objective is told 50 to 200 ms whenever the next start is.

Change: the time until the next start is the earliest return, up to what the caller accepts to wait; callers are spread by the draw, so the count of refusals at the target side goes, which counted one caller's several asks as several callers.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/ReturnTimes.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/ReturnTimes.java
@@ -10,8 +10,9 @@
  * served for little, and takes time from others: it is told to come back while it can still be in
  * time, spread over that time so that those refused together do not return together. After a mass
  * restart, no target is known for a second or more: then the longest wait that a caller accepts is
- * best, and also where the node itself is too busy, which lasts as long. Stateless; safe for use by
- * several threads.
+ * best, and also where the node itself is too busy, which lasts as long. Nobody is told to come
+ * back before the target that refused it may start a request. Stateless; safe for use by several
+ * threads.
  */
 public final class ReturnTimes {
 
@@ -38,6 +39,8 @@
    * @param objectiveLeftNanos time until its objective, in nanoseconds; negative if that has passed
    * @param deadlineLeftNanos time until its deadline, in nanoseconds
    * @param acceptedShare part of the time until its deadline that the caller accepts to wait
+   * @param startWaitNanos time until the target that refused it may start a request, in
+   *     nanoseconds; 0 if it states no rate
    * @param random source of randomness
    * @return the time in milliseconds, at least 1
    */
@@ -46,12 +49,15 @@
       long objectiveLeftNanos,
       long deadlineLeftNanos,
       double acceptedShare,
+      long startWaitNanos,
       RandomGenerator random) {
     double acceptedMillis = deadlineLeftNanos / NANOS_PER_MILLI * acceptedShare;
     double inTimeMillis = objectiveLeftNanos / NANOS_PER_MILLI * IN_TIME_SHARE;
     boolean late = isAbsence(code) || inTimeMillis < LEAST_MILLIS;
-    double latest = late ? acceptedMillis : Math.min(inTimeMillis, acceptedMillis);
-    double earliest = latest * (late ? EARLIEST_IF_LATE : EARLIEST);
+    double startMillis = Math.min(startWaitNanos / NANOS_PER_MILLI, acceptedMillis);
+    double latest =
+        Math.max(startMillis, late ? acceptedMillis : Math.min(inTimeMillis, acceptedMillis));
+    double earliest = Math.max(startMillis, latest * (late ? EARLIEST_IF_LATE : EARLIEST));
     return Math.max(1, (long) (earliest + random.nextDouble() * (latest - earliest)));
   }
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -461,7 +461,7 @@
 
   private Decision.Refused refuse(ResultCode code, long nowNanos) {
     if (code == ResultCode.OVERLOADED && !rate.mayStart(nowNanos)) {
-      long waitNanos = rate.onRefused(queue.size(), nowNanos);
+      long waitNanos = rate.waitNanos(queue.size(), nowNanos);
       return new Decision.Refused(
           ResultCode.TARGET_LIMITED, 1 + Math.min(MAX_RETRY_MILLIS, waitNanos / NANOS_PER_MILLI));
     }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/StatedRate.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/StatedRate.java
@@ -35,7 +35,6 @@
   private long lastStartNanos;
   // Earliest time of the next start.
   private long nextStartNanos;
-  private int refusedSinceStart;
 
   /**
    * Takes in an answer that names a rate.
@@ -129,7 +128,6 @@
   /** Notes that a request starts. */
   void onStart(long nowNanos) {
     lastStartNanos = nowNanos;
-    refusedSinceStart = 0;
     if (limits()) {
       long saved = (long) Math.max(0, SAVED_SECONDS * NANOS_PER_SECOND - intervalNanos());
       nextStartNanos = Math.max(nextStartNanos, nowNanos - saved) + intervalNanos();
@@ -147,14 +145,6 @@
     return limits() ? Math.max(0, nextStartNanos + ahead * intervalNanos() - nowNanos) : 0;
   }
 
-  /**
-   * Counts a refusal for want of a start, and returns the time until the first start that no
-   * waiting request and no caller refused earlier was told of.
-   */
-  long onRefused(int waiting, long nowNanos) {
-    return waitNanos(waiting + refusedSinceStart++, nowNanos);
-  }
-
   private long intervalNanos() {
     return (long) (NANOS_PER_SECOND / perSecond.orElseThrow());
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.FirstAttempts;
@@ -158,10 +159,17 @@
             request.objectiveNanos() - now,
             request.deadlineNanos() - now,
             accepted.getAsDouble(),
+            startWaitNanos(notRun),
             ThreadLocalRandom.current());
     return new Outcome.NotRun<>(notRun.code(), millis, notRun.detail());
   }
 
+  private static long startWaitNanos(Outcome.NotRun<CallResponse> notRun) {
+    return notRun.code() == ResultCode.TARGET_LIMITED
+        ? TimeUnit.MILLISECONDS.toNanos(notRun.retryAfterMillis())
+        : 0;
+  }
+
   private static void submit(
       ResponseTrigger trigger, ClassicHttpResponse response, Outcome<CallResponse> outcome)
       throws HttpException, IOException {
--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshModel.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/mesh/MeshModel.java
@@ -298,6 +298,7 @@
           objective - clock.now(),
           deadline - clock.now(),
           ACCEPTED_SHARE,
+          0,
           random);
     }
 
