End a target's stated rate only with an answer, not with a refusal

What callers saw: a target that names its limit with its answers, and not with its refusals, got more than it allows.

Found by reading the diff. Change: a refusal counts where it states something.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -217,9 +217,7 @@
         yield answer(request, own);
       }
       case TargetDialect.Judgement.NotRun notRun -> {
-        if (notRun.code() != ResultCode.TARGET_REPLACED) {
-          onNotice.accept(dialect.notice(own));
-        }
+        noticeRefusal(own, notRun.code());
         yield refused(request, own, notRun.code());
       }
       case TargetDialect.Judgement.Unusable unusable ->
@@ -232,6 +230,14 @@
     };
   }
 
+  // What a refusal does not state it may only have left out, as it is not made with an answer.
+  private void noticeRefusal(ClassicHttpResponse response, ResultCode code) {
+    TargetNotice notice = dialect.notice(response);
+    if (code != ResultCode.TARGET_REPLACED && !notice.equals(TargetNotice.NONE)) {
+      onNotice.accept(notice);
+    }
+  }
+
   // A late or repeated answer to an earlier request may stand before the one that is waited for.
   private ClassicHttpResponse passOverForeign(
       ClassicHttpRequest request, ClassicHttpResponse response) throws IOException, HttpException {
