--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
@@ -42,6 +42,10 @@
         "amaranthmoor.target.queued",
         "Requests waiting for the target",
         () -> targetSide.load().queued());
+    metrics.gauge(
+        "amaranthmoor.target.limit",
+        "Requests a second that the target takes by its own statement, NaN if it states none",
+        () -> targetSide.statedRate().orElse(Double.NaN));
     metrics.gauge(
         "amaranthmoor.members.reachable",
         "Members believed alive",
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -7,7 +7,6 @@
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
-import org.amaranthmoor.target.RunNotice;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLife;
 import org.amaranthmoor.target.TargetNotice;
@@ -25,8 +24,9 @@
   private final TargetHealth health;
   private final Consumer<TargetRun> whenLeft;
   private final EventLog log;
-  private final AtomicReference<RunNotice> newestNotice =
-      new AtomicReference<>(new RunNotice(new TargetRun("", 0), TargetNotice.NONE));
+  // Of whichever run answered last; a new run states nothing at first.
+  private final AtomicReference<TargetNotice> newestNotice =
+      new AtomicReference<>(TargetNotice.NONE);
 
   /**
    * Creates a gate.
@@ -97,17 +97,31 @@
 
   @Override
   public void onNotice(TargetRun run, TargetNotice notice) {
-    RunNotice current = new RunNotice(run, notice);
-    if (!newestNotice.getAndSet(current).equals(current)) {
+    TargetNotice before = newestNotice.getAndSet(notice);
+    if (!before.equals(notice)) {
       log.info(
           "target-notice",
-          () -> "run=" + run.id() + " limit=" + notice.limit() + " leaving=" + notice.leaving());
+          () ->
+              "run="
+                  + run.id()
+                  + " limit="
+                  + describe(notice.limit())
+                  + " leaving="
+                  + notice.leaving());
     }
     if (notice.leaving()) {
       onLeaving(run);
     }
   }
 
+  private static String describe(TargetNotice.Limit limit) {
+    return switch (limit) {
+      case TargetNotice.Limit.Unstated unstated -> "none";
+      case TargetNotice.Limit.Unreadable unreadable -> "unreadable";
+      case TargetNotice.Limit.Rate rate -> Double.toString(rate.requestsPerSecond());
+    };
+  }
+
   @Override
   public void onLeaving(TargetRun run) {
     if (life.onGone(run)) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -440,6 +441,15 @@
                 run, new TargetNotice(limit.orElseGet(TargetNotice.Limit.Unstated::new), leaving)));
   }
 
+  /** {@return the requests a second that the target states to take; empty if it states none} */
+  public OptionalDouble statedRate() {
+    return admission.statedLimit().stream()
+        .filter(TargetNotice.Limit.Rate.class::isInstance)
+        .map(TargetNotice.Limit.Rate.class::cast)
+        .mapToDouble(TargetNotice.Limit.Rate::requestsPerSecond)
+        .findFirst();
+  }
+
   /** Forgets what the target has stated of itself, as another run takes requests from now on. */
   public void onNewRun() {
     admission.forgetLimit();
