Let nobody connect to a listener that is closed

What callers saw: a connection that a closing process accepted and never read: silent until the deadline, so that a request which was not run ended as unknown.

Cause: a thread that waits in accept holds the listening socket open after close until it gets the processor; what connects meanwhile is accepted, and its handler is refused by an executor that has ended.

Ruled out: a connection of the socket to itself (it ends at once with a parse error, tried). A program of a socket and its accepting thread, beside 16 busy threads: 725 of 2,000 connections succeeded after close. HttpListenerTests failed before.

Change: close waits for the accepting thread, 400 ms at most, and what it accepted meanwhile is closed.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -43,7 +44,13 @@
   private static final Http1Config CONFIG =
       Http1Config.custom().setMaxHeaderCount(128).setMaxLineLength(16_384).build();
 
+  /**
+   * Longest wait for the port to be closed, in milliseconds: less than a planned stop keeps free.
+   */
+  private static final long CLOSE_MILLIS = 400;
+
   private final ServerSocket serverSocket;
+  private final Thread acceptor;
   private final HttpService service;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final Set<DefaultBHttpServerConnection> connections = ConcurrentHashMap.newKeySet();
@@ -62,7 +69,11 @@
     this.serverSocket = new ServerSocket();
     serverSocket.setReuseAddress(true);
     serverSocket.bind(address, BACKLOG);
-    Thread.ofPlatform().name("http-accept-" + address.getPort()).daemon().start(this::acceptAll);
+    this.acceptor =
+        Thread.ofPlatform()
+            .name("http-accept-" + address.getPort())
+            .daemon()
+            .start(this::acceptAll);
   }
 
   // Asks a waiting client for the body. The interim answer has to be flushed by itself, because
@@ -87,7 +98,11 @@
     while (!closed) {
       try {
         Socket socket = serverSocket.accept();
-        executor.execute(() -> serve(socket));
+        if (closed) {
+          socket.close();
+        } else {
+          executor.execute(() -> serve(socket));
+        }
       } catch (IOException e) {
         if (!closed) {
           pauseAfterFailedAccept();
@@ -105,6 +120,17 @@
     }
   }
 
+  // A thread that waits in accept holds the port open until it has the processor.
+  private void awaitAcceptor() {
+    try {
+      if (!acceptor.join(Duration.ofMillis(CLOSE_MILLIS))) {
+        LOGGER.log(Level.WARNING, () -> "event=port-not-closed port=" + port());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void serve(Socket socket) {
     DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", CONFIG);
     connections.add(connection);
@@ -131,7 +157,9 @@
     }
   }
 
-  /** Stops accepting and closes all connections at once. */
+  /**
+   * Stops accepting and closes all connections at once. Nobody can connect once it has returned.
+   */
   @Override
   public void close() {
     closed = true;
@@ -140,6 +168,7 @@
     } catch (IOException e) {
       // The port is given up in any case.
     }
+    awaitAcceptor();
     connections.forEach(connection -> connection.close(CloseMode.IMMEDIATE));
     executor.shutdownNow();
   }
--- /dev/null
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/HttpListenerTests.java
@@ -0,0 +1,62 @@
+package org.amaranthmoor.daemon.http;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HttpListenerTests {
+
+  /** The thread that accepts connections gets the processor late. */
+  @Nested
+  class WhenTheProcessorIsBusy {
+
+    private static final int TIMES = 100;
+
+    /** Time in which the listener begins to wait for a connection, in milliseconds. */
+    private static final long BEGIN_MILLIS = 2;
+
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    @BeforeEach
+    void keepBusy() {
+      for (int i = 0; i < 2 * Runtime.getRuntime().availableProcessors(); i++) {
+        Thread.ofPlatform()
+            .daemon()
+            .start(
+                () -> {
+                  while (!ended.get()) {
+                    Thread.onSpinWait();
+                  }
+                });
+      }
+    }
+
+    @AfterEach
+    void end() {
+      ended.set(true);
+    }
+
+    @Test
+    void nobodyCanConnectOnceTheListenerIsClosed() throws Exception {
+      InetAddress host = InetAddress.getLoopbackAddress();
+      for (int i = 0; i < TIMES; i++) {
+        HttpListener listener =
+            new HttpListener(new InetSocketAddress(host, 0), (request, trigger, context) -> {});
+        int port = listener.port();
+        Thread.sleep(BEGIN_MILLIS);
+
+        listener.close();
+
+        assertThrows(ConnectException.class, () -> new Socket(host, port).close());
+      }
+    }
+  }
+}
