--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -362,7 +362,7 @@
 
   // A request that a running one needs is short beside it, and without it the running one is lost:
   // where waiting would make it late it takes a slot beyond those that are used, although work in
-  // all of these slows the target down.
+  // all of these slows the target down. Nobody has a slot before the stated rate allows a start.
   private boolean hasSlot(Queued request, long nowNanos) {
     if (!rate.mayStart(nowNanos)) {
       return false;
