--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/KnownNotices.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/KnownNotices.java
@@ -6,10 +6,10 @@
 import org.amaranthmoor.model.NodeName;
 
 /**
- * What the targets beside other nodes state of themselves, as far as answers that passed through
- * this node tell.
+ * What the targets beside other nodes state of themselves, from the answers that this node
+ * received.
  *
- * <p>Each request carries it to the node beside the target, which has lost it if it was restarted.
+ * <p>Requests carry it to the node beside the target, which has lost it if it was restarted.
  * Invariants: a notice outlives the process of that node, and is replaced only by one of the same
  * run or a later one; a run that leaves never ceases to. Safe for use by several threads.
  */
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/StatedRate.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/StatedRate.java
@@ -27,9 +27,9 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   private OptionalDouble perSecond = OptionalDouble.empty();
-  // Whether an answer of the target has told whether it names a rate.
+  // Whether this process has received an answer of the target.
   private boolean observed;
-  // Whether the rate has been named at all, be it over or not.
+  // Whether a rate has been named, even if it has ended.
   private boolean named;
   private long namedNanos;
   private long lastStartNanos;
@@ -49,8 +49,8 @@
   }
 
   /**
-   * Takes in a rate that an earlier process was told of, as another node remembers it. It holds
-   * until the first answer, and until then the lowest of several counts.
+   * Takes in a rate that an earlier process of this node received, as another node remembers it. It
+   * holds until the first answer; until then the lowest of several counts.
    *
    * @param rate requests a second
    * @param nowNanos the current time
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -663,7 +663,7 @@
     }
 
     @Test
-    void theLoadTellsOthersWhenTheNextStartIs() {
+    void theLoadReportsWhenTheNextRequestMayStart() {
       state(2);
 
       assertEquals(500 * MILLI, admission.load(0).startWaitNanos());
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/StatedRateTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/StatedRateTests.java
@@ -112,7 +112,7 @@
   }
 
   @Nested
-  class WhenAnEarlierProcessWasToldTheRate {
+  class WhenAnEarlierProcessReceivedTheRate {
 
     @Test
     void itHoldsUntilTheFirstAnswerWhichMayNameNone() {
@@ -138,7 +138,7 @@
     }
 
     @Test
-    void anEndIsToldTooButNothingIfNoneWasEverNamed() {
+    void anEndIsReportedTooButNothingIfNoneWasEverNamed() {
       assertEquals(Optional.empty(), rate.stated());
       rate.onNamed(3, 0);
       assertEquals(Optional.of(new TargetNotice.Limit.Rate(3)), rate.stated());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -248,7 +248,7 @@
     return exchange.run();
   }
 
-  // What an earlier run stated says nothing of the one that takes requests now.
+  // A statement of an earlier run does not apply to the one that takes requests now.
   private void onNotice(TargetGate.Target target, TargetNotice notice, long startNanos) {
     target.run().ifPresent(run -> gate.onNotice(run, notice));
     if (target.run().equals(gate.newestRun())) {
@@ -426,7 +426,7 @@
    */
   public record Status(LoadReport load, Optional<RunNotice> notice) {}
 
-  /** {@return what other nodes are told with each answer} */
+  /** {@return what each answer to another node carries} */
   public Status status() {
     return new Status(load(), gate.newestRun().flatMap(this::notice));
   }
