--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -50,6 +50,8 @@
   NODE_BUSY(118, Kind.NOT_RUN, 503, false),
   /** The rate limit that the target states does not allow this request in time. */
   TARGET_LIMITED(119, Kind.NOT_RUN, 503, true),
+  /** The operator has evacuated the availability zone of the target. */
+  ZONE_EVACUATED(120, Kind.NOT_RUN, 503, true),
   /** The connection to the target side was lost after the request may have been handed over. */
   LINK_LOST(201, Kind.UNKNOWN, 502, true),
   /** The deadline passed after the request may have been handed over. */
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -16,6 +16,8 @@
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.ServedService;
 import org.amaranthmoor.model.SourceEpoch;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.protocol.node.EvacuatedZonesState;
 import org.amaranthmoor.protocol.node.Gossip;
 import org.amaranthmoor.protocol.node.MemberState;
 
@@ -99,6 +101,7 @@
   private Optional<Incarnation> supersedingIncarnation = Optional.empty();
   private long configOffset = -1;
   private SourceEpoch sourceEpoch = SourceEpoch.UNKNOWN;
+  private EvacuatedZones.State evacuatedZones = EvacuatedZones.State.UNREAD;
   private long viewHash;
   private long nextSequence;
   private int zoneCyclePosition;
@@ -203,6 +206,15 @@
     sourceEpoch = epoch;
   }
 
+  /**
+   * Sets the evacuated zones that this node's messages carry.
+   *
+   * @param state the newest state that is known here
+   */
+  public synchronized void setEvacuatedZones(EvacuatedZones.State state) {
+    evacuatedZones = state;
+  }
+
   private void updateSelf(
       Member.Liveness liveness,
       boolean draining,
@@ -660,11 +672,20 @@
   }
 
   private Gossip.Builder message(Gossip.Kind kind) {
-    return Gossip.newBuilder()
-        .setKind(kind)
-        .setSender(self.node().value())
-        .setConfigOffset(configOffset)
-        .setSourceEpoch(sourceEpoch.number());
+    Gossip.Builder builder =
+        Gossip.newBuilder()
+            .setKind(kind)
+            .setSender(self.node().value())
+            .setConfigOffset(configOffset)
+            .setSourceEpoch(sourceEpoch.number());
+    if (evacuatedZones.isRead()) {
+      builder.setEvacuatedZones(
+          EvacuatedZonesState.newBuilder()
+              .setEpoch(evacuatedZones.epoch().number())
+              .setOffset(evacuatedZones.offset())
+              .addAllZones(evacuatedZones.zones().stream().map(ZoneName::value).toList()));
+    }
+    return builder;
   }
 
   private Gossip.Builder withPiggybackedStates(Gossip.Kind kind, Member receiver) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Priority;
@@ -27,9 +29,9 @@
  *       the last report is old. After a restart nothing is known about the target: the speed is
  *       probed before the first request starts, service times measured at an unknown speed are
  *       ignored, and a refusal that is based on an old report starts a probe for the next request.
- *   <li>A target that states a rate limit. Requests start no faster than the rate, nested ones
- *       first, and a refused caller is told when it may start. The speed is not probed, because the
- *       target may count the probe as a request.
+ *   <li>A target that states a rate limit, or that is cold and fails under its usual load. Requests
+ *       start no faster than the limit, nested ones first, and a refused caller is told when it may
+ *       start. The speed is not probed, because the target may count the probe as a request.
  * </ul>
  *
  * <p>Invariants: at most {@link Limits#concurrency()} requests are admitted and not released,
@@ -202,10 +204,12 @@
   private final RetryAfterCalculator retryAfter;
   private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
   private final SlowdownEstimator slowdown = new SlowdownEstimator();
-  private final TargetRateLimiter rateLimiter = new TargetRateLimiter();
+  private final TargetRateLimiter rateLimiter;
   private final List<QueuedRequest> queue = new ArrayList<>();
   private final Map<Waiter, RunningRequest> running = new HashMap<>();
+  private final Set<Waiter> notHandedOver = new HashSet<>();
   private Limits limits;
+  private ColdStart coldStart = ColdStart.UNLIMITED;
   private long arrivals;
   private boolean contended;
   private long contendedNanos;
@@ -235,6 +239,7 @@
   public Admission(Limits limits, RandomGenerator random, long nowNanos) {
     this.limits = limits;
     this.retryAfter = new RetryAfterCalculator(random, nowNanos);
+    this.rateLimiter = new TargetRateLimiter(nowNanos);
   }
 
   /**
@@ -269,18 +274,18 @@
         && slotFree
         && !slowdown.isFresh(nowNanos)
         && nowNanos + usualNanos <= waiter.objectiveNanos()) {
-      probeSpeed(callbacks);
+      probeSpeed(nowNanos, callbacks);
     }
   }
 
-  private void probeSpeed(PendingCallbacks callbacks) {
-    if (!rateLimiter.isLimiting()) {
+  private void probeSpeed(long nowNanos, PendingCallbacks callbacks) {
+    if (!rateLimiter.isLimiting(nowNanos)) {
       speedProbe.ifPresent(callbacks.pending::add);
     }
   }
 
-  private Comparator<QueuedRequest> order() {
-    return rateLimiter.isLimiting() ? RATE_LIMITED_ORDER : ORDER;
+  private Comparator<QueuedRequest> order(long nowNanos) {
+    return rateLimiter.isLimiting(nowNanos) ? RATE_LIMITED_ORDER : ORDER;
   }
 
   private Decision decide(Waiter waiter, long nowNanos, PendingCallbacks callbacks) {
@@ -294,7 +299,7 @@
     boolean slotFree =
         hasSlot(request, nowNanos)
             && queue.stream()
-                .noneMatch(q -> order().compare(q, request) < 0 && hasSlot(q, nowNanos));
+                .noneMatch(q -> order(nowNanos).compare(q, request) < 0 && hasSlot(q, nowNanos));
     double startNanos = slotFree ? (double) nowNanos : expectedStartNanos(request, nowNanos);
     double endNanos = startNanos + expectedDurationNanos(request, nowNanos);
     if (!slotFree && endNanos > waiter.deadlineNanos()) {
@@ -317,7 +322,7 @@
     if (queue.size() >= limits.queue() && !displace(waiter.priority(), nowNanos, callbacks)) {
       return createRefusal(ResultCode.OVERLOADED, nowNanos);
     }
-    enqueue(request);
+    enqueue(request, nowNanos);
     probeSpeedIfAwaited(nowNanos, callbacks);
     return new Decision.Queued();
   }
@@ -360,6 +365,9 @@
   // Work that ends in time only outside of a slow phase starts if a current report shows none, or
   // if no report can be had: the probe failed, the wait for it is over, or probes are not allowed.
   private boolean speedAllowsStart(QueuedRequest request, long nowNanos) {
+    if (rateLimiter.needsWarmReport(nowNanos)) {
+      return false;
+    }
     if (!dependsOnSpeed(request, nowNanos)) {
       return true;
     }
@@ -367,7 +375,9 @@
       return !slowdown.isInSlowPhase(nowNanos);
     }
     boolean waitedEnough = nowNanos - request.arrivedNanos() >= SPEED_WAIT_NANOS;
-    return slowdown.probeFailedRecently(nowNanos) || waitedEnough || rateLimiter.isLimiting();
+    return slowdown.probeFailedRecently(nowNanos)
+        || waitedEnough
+        || rateLimiter.isLimiting(nowNanos);
   }
 
   // Whether the work ends in time outside of a slow phase but not within one. In time means before
@@ -405,8 +415,8 @@
 
   private void probeSpeedIfAwaited(long nowNanos, PendingCallbacks callbacks) {
     boolean waits = queue.stream().anyMatch(queued -> hasSlot(queued, nowNanos));
-    if (waits && !slowdown.isFresh(nowNanos)) {
-      probeSpeed(callbacks);
+    if (waits && (!slowdown.isFresh(nowNanos) || rateLimiter.needsWarmReport(nowNanos))) {
+      probeSpeed(nowNanos, callbacks);
     }
   }
 
@@ -444,7 +454,7 @@
     }
     int ahead = 0;
     for (QueuedRequest other : queue) {
-      if (order().compare(other, request) < 0) {
+      if (order(nowNanos).compare(other, request) < 0) {
         slotFreeNanos.add(slotFreeNanos.remove() + expectedDurationNanos(other, nowNanos));
         ahead++;
       }
@@ -459,14 +469,15 @@
     long endNanos = nowNanos + (long) (work * factor);
     boolean fresh = slowdown.isFresh(nowNanos);
     rateLimiter.onStart(nowNanos);
+    notHandedOver.add(request.waiter());
     running.put(
         request.waiter(),
         new RunningRequest(work, request.initialEstimateNanos(), factor, fresh, endNanos));
   }
 
-  private void enqueue(QueuedRequest request) {
+  private void enqueue(QueuedRequest request, long nowNanos) {
     int index = queue.size();
-    while (index > 0 && order().compare(request, queue.get(index - 1)) < 0) {
+    while (index > 0 && order(nowNanos).compare(request, queue.get(index - 1)) < 0) {
       index--;
     }
     queue.add(index, request);
@@ -502,6 +513,18 @@
     return new Decision.Refused(code, retryAfter.onRefused(drainNanos, nowNanos));
   }
 
+  /**
+   * Records that an admitted request is handed over to the target now.
+   *
+   * @param waiter the request that has the slot
+   * @param nowNanos the current time
+   */
+  public synchronized void onHandOver(Waiter waiter, long nowNanos) {
+    if (notHandedOver.remove(waiter)) {
+      rateLimiter.onHandOver(nowNanos);
+    }
+  }
+
   /**
    * Releases a slot and admits the next waiters that can still finish.
    *
@@ -514,6 +537,9 @@
     PendingCallbacks callbacks = new PendingCallbacks();
     synchronized (this) {
       RunningRequest run = running.remove(waiter);
+      if (notHandedOver.remove(waiter)) {
+        rateLimiter.onNotHandedOver();
+      }
       if (heldNanos >= 0 && run != null) {
         serviceTimeNanos += SERVICE_TIME_WEIGHT * (heldNanos - serviceTimeNanos);
         learnWork(waiter.rule(), run, heldNanos, nowNanos);
@@ -577,7 +603,7 @@
     List<QueuedRequest> startable =
         queue.stream()
             .filter(q -> hasSlot(q, nowNanos) && speedAllowsStart(q, nowNanos))
-            .sorted(order())
+            .sorted(order(nowNanos))
             .toList();
     return startable.stream()
         .filter(q -> nowNanos + expectedDurationNanos(q, nowNanos) <= q.waiter().objectiveNanos())
@@ -709,15 +735,52 @@
     return startNanos > 0 ? Math.min(startNanos, SPEED_WAIT_NANOS) : SPEED_WAIT_NANOS;
   }
 
+  /**
+   * Sets what the target takes while it is cold.
+   *
+   * @param changed the largest number of requests and the usual length of a cold start
+   */
+  public synchronized void setColdStart(ColdStart changed) {
+    coldStart = changed;
+    rateLimiter.setColdStart(changed);
+  }
+
   /**
    * Records the remaining time of the target's cold start, in which it is slow.
    *
-   * @param leftNanos the time in nanoseconds, 0 if it is warm
+   * @param leftNanos the time in nanoseconds; 0 changes nothing, as the report may be delayed
    * @param nowNanos the current time
    */
   public synchronized void onCold(long leftNanos, long nowNanos) {
     if (leftNanos > 0) {
       slowdown.onCold(nowNanos + leftNanos);
+      rateLimiter.onCold(nowNanos + leftNanos);
+    }
+  }
+
+  /**
+   * Assumes that the target begins a cold start now, as after a time in which it may have become
+   * cold without a report.
+   *
+   * @param nowNanos the current time
+   */
+  public synchronized void assumeCold(long nowNanos) {
+    if (coldStart.isLimited()) {
+      onCold(coldStart.durationNanos(), nowNanos);
+    }
+  }
+
+  /**
+   * Records the target's response to a health check about its cold start.
+   *
+   * @param leftNanos the remaining time in nanoseconds, 0 if it is warm
+   * @param sentNanos when the health check was sent
+   */
+  public synchronized void onColdReport(long leftNanos, long sentNanos) {
+    if (leftNanos > 0) {
+      onCold(leftNanos, sentNanos);
+    } else {
+      rateLimiter.onWarm(sentNanos);
     }
   }
 
@@ -789,8 +852,8 @@
    *
    * @param nowNanos the current time
    * @return key=value pairs: requests running and queued, the expected slowdown factor, the last
-   *     reported one and its age; if the target states a rate, that rate and the time until the
-   *     next request may start
+   *     reported one and its age; the rate that the target states, the limit while it is cold, and
+   *     with either of them the time until the next request may start
    */
   public synchronized String describe(long nowNanos) {
     return "running="
@@ -803,11 +866,12 @@
         + hundredths(slowdown.lastFactor())
         + " report-age-ms="
         + Math.min(slowdown.lastReportAgeNanos(nowNanos) / NANOS_PER_MILLI, MAX_LOGGED_AGE_MILLIS)
-        + (rateLimiter.isLimiting()
-            ? " limit="
-                + hundredths(rateLimiter.perSecond().getAsDouble())
-                + " next-start-ms="
-                + rateLimiter.waitNanos(0, nowNanos) / NANOS_PER_MILLI
+        + (rateLimiter.perSecond().isPresent()
+            ? " limit=" + hundredths(rateLimiter.perSecond().getAsDouble())
+            : "")
+        + (rateLimiter.isColdLimited(nowNanos) ? " cold-limit=" + coldStart.maxPerSecond() : "")
+        + (rateLimiter.isLimiting(nowNanos)
+            ? " next-start-ms=" + rateLimiter.waitNanos(0, nowNanos) / NANOS_PER_MILLI
             : "");
   }
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetRateLimiter.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetRateLimiter.java
@@ -4,14 +4,24 @@
 import java.util.OptionalDouble;
 
 /**
- * Limits the requests to a target to the rate that the target states in its answers.
+ * Limits the requests to a target that cannot take its usual load, from two sources: the rate that
+ * the target states in its answers, and the number of requests that it takes in a second while it
+ * is cold.
  *
- * <p>A target that cannot take its usual load states how many requests per second it accepts from
- * all nodes together. Every request to the target passes this one limiter. Invariants: while a rate
- * is in force, at most rate * t + max(1, rate * {@link #BURST_SECONDS}) requests start in any t
- * seconds; a rate ends only with an answer to a request that was sent after the rate was last
- * stated. A rate that other nodes remember applies only until the first answer. Not thread-safe;
- * {@link Admission} guards it with its lock.
+ * <p>Every request to the target passes this one limiter. Invariants:
+ *
+ * <ul>
+ *   <li>While a stated rate is in force, at most rate * t + max(1, rate * {@link #BURST_SECONDS})
+ *       requests start in any t seconds. A rate ends only with an answer to a request that was sent
+ *       after the rate was last stated. A rate that other nodes remember applies only until the
+ *       first answer.
+ *   <li>While the target is cold, at most {@link ColdStart#maxPerSecond} requests are handed over
+ *       within any second, whatever time passes between their start and the hand-over. As a target
+ *       may become cold at any moment, a warm one gets more than that only on a current report that
+ *       it is warm.
+ * </ul>
+ *
+ * <p>Not thread-safe; {@link Admission} guards it with its lock.
  */
 final class TargetRateLimiter {
 
@@ -24,8 +34,15 @@
    */
   static final double MIN_RATE_PER_SECOND = 0.25;
 
+  /**
+   * Age up to which a report that the target is warm counts as current, in nanoseconds. Until the
+   * next report, a target that has become cold may get its usual load.
+   */
+  static final long WARM_REPORT_NANOS = 150_000_000L;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
+  private final HandOverWindow window;
   private OptionalDouble perSecond = OptionalDouble.empty();
   // Whether this process has received an answer of this run of the target.
   private boolean answerReceived;
@@ -33,8 +50,22 @@
   private boolean everStated;
   private long lastStatedNanos;
   private long lastStartNanos;
-  // Earliest time of the next start.
+  // Earliest time of the next start under the stated rate.
   private long nextStartNanos;
+  private ColdStart coldStart = ColdStart.UNLIMITED;
+  private boolean cold;
+  private long coldUntilNanos;
+  private boolean warmReported;
+  private long warmReportNanos;
+
+  /**
+   * Creates a limiter without a limit.
+   *
+   * @param nowNanos the current time, before which an earlier process may have sent requests
+   */
+  TargetRateLimiter(long nowNanos) {
+    this.window = new HandOverWindow(nowNanos);
+  }
 
   /**
    * Records an answer that states a rate.
@@ -58,7 +89,7 @@
    */
   boolean onRememberedRate(double rate, long nowNanos) {
     if (answerReceived
-        || (isLimiting() && perSecond.getAsDouble() <= Math.max(MIN_RATE_PER_SECOND, rate))) {
+        || (isRateStated() && perSecond.getAsDouble() <= Math.max(MIN_RATE_PER_SECOND, rate))) {
       return false;
     }
     setRate(rate, nowNanos);
@@ -93,11 +124,35 @@
     return ends;
   }
 
-  /** Resets the limiter for a new run of the target. */
+  /** Discards the stated rate, because a new run of the target starts. */
   void reset() {
     perSecond = OptionalDouble.empty();
     answerReceived = false;
     everStated = false;
+    warmReported = false;
+  }
+
+  /** Sets how many requests the target takes while it is cold. */
+  void setColdStart(ColdStart changed) {
+    coldStart = changed;
+  }
+
+  /**
+   * Records that the target is cold. A later end that was reported before remains, because reports
+   * may be delayed.
+   *
+   * @param untilNanos when it becomes warm
+   */
+  void onCold(long untilNanos) {
+    coldUntilNanos = cold ? Math.max(coldUntilNanos, untilNanos) : untilNanos;
+    cold = true;
+    warmReported = false;
+  }
+
+  /** Records a response of the target itself that it is warm now. */
+  void onWarm(long nowNanos) {
+    warmReported = true;
+    warmReportNanos = nowNanos;
   }
 
   /** {@return the rate in force, or that it has ended; empty if none was ever stated} */
@@ -106,35 +161,78 @@
       return Optional.empty();
     }
     return Optional.of(
-        isLimiting()
+        isRateStated()
             ? new TargetNotice.Limit.Rate(perSecond.getAsDouble())
             : new TargetNotice.Limit.Unstated());
   }
 
-  /** {@return the rate in force in requests per second; empty without a limit} */
+  /** {@return the stated rate in force in requests per second; empty without one} */
   OptionalDouble perSecond() {
     return perSecond;
   }
 
-  /** {@return whether a rate is in force} */
-  boolean isLimiting() {
+  private boolean isRateStated() {
     return perSecond.isPresent();
   }
 
+  /** {@return whether the target is cold and takes only so many requests in a second} */
+  boolean isColdLimited(long nowNanos) {
+    return coldStart.isLimited() && isCold(nowNanos);
+  }
+
+  private boolean isCold(long nowNanos) {
+    if (cold && nowNanos - coldUntilNanos >= 0) {
+      cold = false;
+    }
+    return cold;
+  }
+
+  /** {@return whether the target takes fewer requests than its slots allow} */
+  boolean isLimiting(long nowNanos) {
+    return isRateStated() || isColdLimited(nowNanos);
+  }
+
   /** {@return whether a request may start now} */
   boolean allowsStart(long nowNanos) {
-    return !isLimiting() || nowNanos - nextStartNanos >= 0;
+    boolean rateAllows = !isRateStated() || nowNanos - nextStartNanos >= 0;
+    return rateAllows && (!isColdLimited(nowNanos) || windowWaitNanos(0, nowNanos) == 0);
   }
 
-  /** Records that a request starts. */
+  /**
+   * Returns whether the next request may start only after the target has reported that it is warm,
+   * because it would exceed what the target takes while it is cold.
+   *
+   * @param nowNanos the current time
+   * @return whether a current report is needed
+   */
+  boolean needsWarmReport(long nowNanos) {
+    boolean current = warmReported && nowNanos - warmReportNanos <= WARM_REPORT_NANOS;
+    return coldStart.isLimited()
+        && !isCold(nowNanos)
+        && !current
+        && window.count(nowNanos) >= coldStart.maxPerSecond();
+  }
+
+  /** Records that a request starts; {@link #onHandOver} or {@link #onNotHandedOver} follows. */
   void onStart(long nowNanos) {
     lastStartNanos = nowNanos;
-    if (isLimiting()) {
+    window.onStart();
+    if (isRateStated()) {
       long burstNanos = (long) Math.max(0, BURST_SECONDS * NANOS_PER_SECOND - intervalNanos());
       nextStartNanos = Math.max(nextStartNanos, nowNanos - burstNanos) + intervalNanos();
     }
   }
 
+  /** Records that a request that has started is handed over now. */
+  void onHandOver(long nowNanos) {
+    window.onHandOver(nowNanos);
+  }
+
+  /** Records that a request that has started is not handed over. */
+  void onNotHandedOver() {
+    window.onNotHandedOver();
+  }
+
   /**
    * Returns the time until a request may start.
    *
@@ -143,7 +241,17 @@
    * @return the time in nanoseconds, 0 if it may start now
    */
   long waitNanos(int ahead, long nowNanos) {
-    return isLimiting() ? Math.max(0, nextStartNanos + ahead * intervalNanos() - nowNanos) : 0;
+    long rateWait =
+        isRateStated() ? Math.max(0, nextStartNanos + ahead * intervalNanos() - nowNanos) : 0;
+    return isColdLimited(nowNanos)
+        ? Math.max(rateWait, windowWaitNanos(ahead, nowNanos))
+        : rateWait;
+  }
+
+  // The limit ends with the cold start, whatever the window says.
+  private long windowWaitNanos(int ahead, long nowNanos) {
+    return Math.min(
+        window.waitNanos(coldStart.maxPerSecond(), ahead, nowNanos), coldUntilNanos - nowNanos);
   }
 
   private long intervalNanos() {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
@@ -60,6 +60,11 @@
     return mapping.entries().containsKey(key);
   }
 
+  /** {@return a reader of the same mapping whose problems are discarded} */
+  public Section ignoringProblems() {
+    return new Section(mapping, path, new ArrayList<>());
+  }
+
   /**
    * Adds a problem at a key.
    *
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/AdmissionUnderLoadTests.java
@@ -13,6 +13,7 @@
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.target.Admission.Decision;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -710,4 +711,160 @@
       assertEquals(List.of(), probes);
     }
   }
+
+  /**
+   * A burst of short requests at a target that has started during traffic, whose slots would take
+   * many times what it tolerates while it is cold. Connecting to it takes up to 400 ms.
+   */
+  @Nested
+  class WhenTheTargetIsCold {
+
+    private static final int MAX_PER_SECOND = 18;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final long START = 60 * SECOND;
+
+    private final List<Long> handOvers = new ArrayList<>();
+    private final List<String> probes = new ArrayList<>();
+    private long clockNanos;
+
+    @BeforeEach
+    void setColdStart() {
+      admission.setColdStart(new ColdStart(MAX_PER_SECOND, 3 * SECOND));
+      learn(PAGES, 20);
+    }
+
+    private record Pending(Request request, long handOverNanos) {}
+
+    // Offers a request each 5 ms from the start on; each takes 20 ms at the target.
+    private void replay(long endNanos) {
+      SplittableRandom random = new SplittableRandom(11);
+      List<Request> open = new ArrayList<>();
+      PriorityQueue<Pending> pending =
+          new PriorityQueue<>(Comparator.comparingLong(Pending::handOverNanos));
+      for (long now = START; now < endNanos; now += 5 * MILLI) {
+        clockNanos = now;
+        while (!pending.isEmpty() && pending.peek().handOverNanos() <= now) {
+          Request request = pending.remove().request();
+          admission.onHandOver(request, now);
+          handOvers.add(now);
+          admission.release(request, 20 * MILLI, now);
+        }
+        Request request = new Request(PAGES, Priority.NORMAL, now, 500 * MILLI, 90);
+        if (admission.offer(request, now) instanceof Decision.Admitted admitted) {
+          request.decisions.add(admitted);
+        }
+        open.add(request);
+        admission.recheck(now);
+        for (Request other : List.copyOf(open)) {
+          if (other.decisions.contains(new Decision.Admitted())) {
+            open.remove(other);
+            pending.add(new Pending(other, now + random.nextLong(400) * MILLI));
+          }
+        }
+      }
+    }
+
+    private long mostInASecond(long fromNanos, long untilNanos) {
+      return handOvers.stream()
+          .filter(begin -> begin >= fromNanos && begin < untilNanos)
+          .mapToLong(
+              begin ->
+                  handOvers.stream()
+                      .filter(at -> at >= begin && at - begin <= SECOND && at < untilNanos)
+                      .count())
+          .max()
+          .orElse(0);
+    }
+
+    @Test
+    void noSecondHasMoreHandOversThanAColdTargetTakes() {
+      admission.onCold(3 * SECOND, START);
+
+      replay(START + 6 * SECOND);
+
+      long coldEnd = START + 3 * SECOND;
+      assertTrue(
+          mostInASecond(START, coldEnd) <= MAX_PER_SECOND,
+          mostInASecond(START, coldEnd) + " in a second while cold");
+      long started = handOvers.stream().filter(at -> at < coldEnd).count();
+      assertTrue(started >= 2 * MAX_PER_SECOND, started + " in three seconds while cold");
+    }
+
+    @Test
+    void aWarmTargetGetsMoreOnlyWithCurrentReportsThatItIsWarm() {
+      admission.setSpeedProbe(() -> probes.add("probe"));
+
+      replay(START + 3 * SECOND);
+
+      assertTrue(mostInASecond(START, START + 3 * SECOND) <= MAX_PER_SECOND);
+      assertTrue(!probes.isEmpty());
+    }
+
+    @Test
+    void aWarmTargetThatReportsSoGetsItsUsualLoad() {
+      admission.setSpeedProbe(
+          () -> {
+            admission.onColdReport(0, clockNanos);
+            admission.onSlowdown(1, clockNanos);
+          });
+
+      replay(START + 3 * SECOND);
+
+      assertTrue(mostInASecond(START, START + 3 * SECOND) > MAX_PER_SECOND);
+    }
+
+    @Test
+    void aTargetThatIsFoundToBeColdAgainGetsNoMoreThanItTakes() {
+      admission.setSpeedProbe(() -> admission.onColdReport(2 * SECOND, clockNanos));
+
+      replay(START + 3 * SECOND);
+
+      assertTrue(mostInASecond(START, START + 2 * SECOND) <= MAX_PER_SECOND);
+    }
+
+    @Test
+    void aDelayedReportDoesNotEndAColdStartEarlier() {
+      admission.onCold(3 * SECOND, START);
+      admission.onCold(0, START + SECOND);
+      admission.onCold(SECOND, START + SECOND);
+
+      replay(START + 3 * SECOND);
+
+      assertTrue(mostInASecond(START, START + 3 * SECOND) <= MAX_PER_SECOND);
+    }
+
+    /** What an earlier process sent in the second before this one began is not known. */
+    @Test
+    void nothingStartsAtAColdTargetInTheFirstSecondOfTheProcess() {
+      Admission restarted =
+          new Admission(new Admission.Limits(6, 48, 5, 0.3), new SplittableRandom(1), START);
+      restarted.setColdStart(new ColdStart(MAX_PER_SECOND, 3 * SECOND));
+      restarted.onCold(3 * SECOND, START);
+      Request early = new Request(PAGES, Priority.NORMAL, START, 400 * MILLI, 90);
+      Request later = new Request(PAGES, Priority.NORMAL, START + SECOND, 400 * MILLI, 90);
+
+      assertInstanceOf(Decision.Refused.class, restarted.offer(early, START));
+      assertInstanceOf(Decision.Admitted.class, restarted.offer(later, START + SECOND));
+    }
+
+    @Test
+    void aRefusedRequestIsToldWhenTheNextOneMayStart() {
+      admission.setColdStart(new ColdStart(0, 3 * SECOND));
+      admission.onCold(2 * SECOND, START);
+
+      assertEquals(
+          new Decision.Refused(ResultCode.TARGET_LIMITED, 1_001),
+          admission.offer(new Request(PAGES, Priority.NORMAL, START, 500 * MILLI, 90), START));
+    }
+
+    @Test
+    void aServiceWithoutALimitIsNotAffected() {
+      admission.setColdStart(ColdStart.UNLIMITED);
+      admission.onCold(3 * SECOND, START);
+
+      replay(START + SECOND);
+
+      assertTrue(mostInASecond(START, START + SECOND) > MAX_PER_SECOND);
+    }
+  }
 }
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetRateLimiterTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetRateLimiterTests.java
@@ -17,7 +17,7 @@
   private static final long MILLI = 1_000_000L;
   private static final long SECOND = 1_000 * MILLI;
 
-  private final TargetRateLimiter limiter = new TargetRateLimiter();
+  private final TargetRateLimiter limiter = new TargetRateLimiter(0);
 
   private int startsUntil(long endNanos) {
     int starts = 0;
@@ -67,9 +67,9 @@
     limiter.onRateStated(2, 100 * MILLI);
 
     assertFalse(limiter.onNoRateStated(50 * MILLI));
-    assertTrue(limiter.isLimiting());
+    assertTrue(limiter.isLimiting(0));
     assertTrue(limiter.onNoRateStated(150 * MILLI));
-    assertFalse(limiter.isLimiting());
+    assertFalse(limiter.isLimiting(0));
   }
 
   @Test
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFeed.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFeed.java
@@ -1,10 +1,14 @@
 package org.amaranthmoor.daemon.mesh;
 
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.amaranthmoor.model.SourceEpoch;
+import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.yaml.ParseResult;
 
 /**
- * Reads the operator's configuration from its source.
+ * Reads the operator's configuration and evacuations of availability zones from their source.
  *
  * <p>Implementations are safe for use by several threads. Reads block, with a time limit.
  */
@@ -21,24 +25,38 @@
   /** Position of a reader that has read nothing yet. */
   Position START = new Position(SourceEpoch.UNKNOWN, -1);
 
+  /** What the records of a read state about the evacuated zones. */
+  sealed interface ZoneUpdate {
+    /**
+     * The read considered the newest record of each zone.
+     *
+     * @param zones all evacuated zones
+     */
+    record All(Set<ZoneName> zones) implements ZoneUpdate {}
+
+    /**
+     * The read considered the records after its position.
+     *
+     * @param evacuated whether each zone that the records name is evacuated now
+     */
+    record Changes(Map<ZoneName, Boolean> evacuated) implements ZoneUpdate {}
+  }
+
   /** Result of a read. */
   sealed interface ReadResult {
     /**
-     * A configuration.
+     * The records that were read.
      *
-     * @param document the newest document
+     * @param document the newest document of the configuration, empty if there is no newer one
+     * @param zones what the records state about the evacuated zones
      * @param position the position for the next read
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Document(byte[] document, Position position) implements ReadResult {}
+    record Records(Optional<byte[]> document, ZoneUpdate zones, Position position)
+        implements ReadResult {}
 
-    /**
-     * There is no newer document, or the position of the read is no longer valid.
-     *
-     * @param position the position for the next read; {@link #START} if that of this read is
-     *     invalid
-     */
-    record NoDocument(Position position) implements ReadResult {}
+    /** The position of the read is no longer valid; the next read begins at {@link #START}. */
+    record PositionInvalid() implements ReadResult {}
 
     /**
      * The source could not be read.
@@ -49,8 +67,8 @@
   }
 
   /**
-   * Reads the newest document after a position, or waits for one if there is none. A position of an
-   * earlier epoch is invalid; the next read begins at the start.
+   * Reads the records after a position, or waits for one if there is none. A position of an earlier
+   * epoch is invalid.
    *
    * @param position the position that the last read returned, or {@link #START}
    * @return the result
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
@@ -1,6 +1,7 @@
 package org.amaranthmoor.daemon.mesh;
 
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.SourceEpoch;
@@ -9,8 +10,8 @@
 import org.amaranthmoor.yaml.ParseResult;
 
 /**
- * Reads new versions of the operator's configuration on its own thread while the read policy
- * requires this node to read.
+ * Reads the operator's configuration and evacuations of zones on its own thread while the read
+ * policy requires this node to read.
  *
  * <p>Safe for use by several threads.
  */
@@ -29,6 +30,7 @@
 
   private final ConfigFeed feed;
   private final Consumer<RoutingConfig> onConfig;
+  private final BiConsumer<ConfigFeed.ZoneUpdate, ConfigFeed.Position> onZoneUpdate;
   private final ConfigReadPolicy readPolicy;
   private final TimeSource time;
   private final EventLog log;
@@ -45,6 +47,7 @@
    *
    * @param feed reads the source
    * @param onConfig receives each configuration
+   * @param onZoneUpdate receives what each read states about evacuated zones, and its position
    * @param readPolicy decides whether this node reads
    * @param time the clock
    * @param log receives changes and failures
@@ -52,11 +55,13 @@
   ConfigFollower(
       ConfigFeed feed,
       Consumer<RoutingConfig> onConfig,
+      BiConsumer<ConfigFeed.ZoneUpdate, ConfigFeed.Position> onZoneUpdate,
       ConfigReadPolicy readPolicy,
       TimeSource time,
       EventLog log) {
     this.feed = feed;
     this.onConfig = onConfig;
+    this.onZoneUpdate = onZoneUpdate;
     this.readPolicy = readPolicy;
     this.time = time;
     this.log = log;
@@ -130,18 +135,16 @@
       return;
     }
     switch (result) {
-      case ConfigFeed.ReadResult.Document found -> {
-        setAvailable(true, "");
-        readPolicy.onReadSuccess();
-        position = found.position();
-        decodeAndPublish(found.document());
-        Thread.sleep(PAUSE_AFTER_CHANGE_MILLIS);
-      }
-      case ConfigFeed.ReadResult.NoDocument none -> {
-        setAvailable(true, "");
-        readPolicy.onReadSuccess();
-        position = none.position();
+      case ConfigFeed.ReadResult.Records records -> {
+        onReached(records.position());
+        // Before the configuration, so that the first one in force never routes to evacuated zones.
+        onZoneUpdate.accept(records.zones(), records.position());
+        if (records.document().isPresent()) {
+          decodeAndPublish(records.document().get());
+          Thread.sleep(PAUSE_AFTER_CHANGE_MILLIS);
+        }
       }
+      case ConfigFeed.ReadResult.PositionInvalid invalid -> onReached(ConfigFeed.START);
       case ConfigFeed.ReadResult.Unavailable unavailable -> {
         setAvailable(false, unavailable.detail());
         readPolicy.onReadFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
@@ -149,6 +152,12 @@
     }
   }
 
+  private void onReached(ConfigFeed.Position next) {
+    setAvailable(true, "");
+    readPolicy.onReadSuccess();
+    position = next;
+  }
+
   private void decodeAndPublish(byte[] document) {
     switch (feed.decode(document)) {
       case ParseResult.Valid<RoutingConfig> valid -> onConfig.accept(valid.value());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshDeployment.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshDeployment.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.amaranthmoor.caller.Router;
 import org.amaranthmoor.config.ServiceSpec;
 import org.amaranthmoor.daemon.caller.RoutingSource;
@@ -10,6 +11,7 @@
 import org.amaranthmoor.model.ServedService;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TargetName;
+import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.target.KeyOwners;
@@ -27,6 +29,7 @@
   private final RoutingConfig config;
   private final Membership membership;
   private final Optional<ServedService> ownService;
+  private final Set<ZoneName> evacuatedZones;
 
   /**
    * Creates a deployment.
@@ -35,11 +38,17 @@
    * @param membership the members
    * @param ownService the service of the target beside this node, empty if its target side is
    *     closed
+   * @param evacuatedZones the zones whose targets receive no requests
    */
-  MeshDeployment(RoutingConfig config, Membership membership, Optional<ServedService> ownService) {
+  MeshDeployment(
+      RoutingConfig config,
+      Membership membership,
+      Optional<ServedService> ownService,
+      Set<ZoneName> evacuatedZones) {
     this.config = config;
     this.membership = membership;
     this.ownService = ownService;
+    this.evacuatedZones = Set.copyOf(evacuatedZones);
   }
 
   @Override
@@ -61,6 +70,7 @@
   public List<Instance> instances(ServiceName service) {
     NodeName own = membership.self().node();
     return membership.members().stream()
+        .filter(member -> !evacuatedZones.contains(member.zone()))
         .flatMap(
             member ->
                 toInstance(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -45,12 +45,14 @@
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.ConfigReadPolicy;
+import org.amaranthmoor.node.EvacuatedZones;
 import org.amaranthmoor.node.GossipTimings;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.MemberChanges;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.node.SourceEpochTracker;
 import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.ColdStart;
 import org.amaranthmoor.target.ExchangeLedger;
 import org.amaranthmoor.target.KeyLedger;
 import org.amaranthmoor.target.KeyOwners;
@@ -126,6 +128,7 @@
   private final ConfigHolder configHolder = new ConfigHolder();
   private final ConfigReadPolicy readPolicy;
   private final SourceEpochTracker epochTracker;
+  private final EvacuatedZones evacuatedZones = new EvacuatedZones();
   private final Membership membership;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -229,10 +232,13 @@
             membership,
             directory,
             this::isKnownService,
+            this::coldStart,
+            () -> isOwnZoneEvacuated(time.nanos()),
             this::announceOwnState,
             time,
             log);
-    this.follower = new ConfigFollower(feed, this::onFeedConfig, readPolicy, time, log);
+    this.follower =
+        new ConfigFollower(feed, this::onFeedConfig, this::onZoneUpdate, readPolicy, time, log);
     this.peerConfigReader =
         new PeerConfigReader(
             settings.zone(),
@@ -287,7 +293,8 @@
         admission,
         new KeyLedger<>(1, 1, answer -> 0),
         new AtomicReference<>(noOwnership),
-        new RegisteredTarget(lifecycle, health, this::onLeaveDetected, log),
+        new RegisteredTarget(
+            lifecycle, health, this::isOwnZoneEvacuated, this::onLeaveDetected, log),
         dialect,
         connections,
         metrics,
@@ -301,7 +308,9 @@
   }
 
   private Optional<TargetProbe.HealthCheck> targetHealthCheck() {
-    Optional<TargetLifecycle.Report> report = lifecycle.ready(time.nanos());
+    long now = time.nanos();
+    Optional<TargetLifecycle.Report> report =
+        lifecycle.ready(now).filter(ready -> !isOwnZoneEvacuated(now));
     Optional<String> path =
         report.flatMap(
             ready ->
@@ -403,6 +412,13 @@
         .orElse(false);
   }
 
+  private ColdStart coldStart(ServiceName service) {
+    return configHolder
+        .current()
+        .map(config -> config.coldStart(service))
+        .orElse(ColdStart.UNLIMITED);
+  }
+
   private void onRecordsRead(InstanceDirectory.Contents contents) {
     contents.leftRuns().forEach(lifecycle::onGone);
     if (contents.historyKnown()) {
@@ -470,13 +486,69 @@
         .current()
         .ifPresent(
             config ->
-                views.rebuild(new MeshDeployment(config, membership, registry.servedService())));
+                views.rebuild(
+                    new MeshDeployment(
+                        config,
+                        membership,
+                        registry.servedService(),
+                        evacuatedZones.zones(time.nanos()))));
+  }
+
+  private boolean isOwnZoneEvacuated(long nowNanos) {
+    return evacuatedZones.contains(settings.zone(), nowNanos);
+  }
+
+  private void onZoneUpdate(ConfigFeed.ZoneUpdate update, ConfigFeed.Position position) {
+    long now = time.nanos();
+    boolean changed =
+        switch (update) {
+          case ConfigFeed.ZoneUpdate.All all ->
+              evacuatedZones.onState(
+                  new EvacuatedZones.State(position.epoch(), position.offset(), all.zones()), now);
+          case ConfigFeed.ZoneUpdate.Changes changes ->
+              evacuatedZones.onChanges(
+                  changes.evacuated(), position.epoch(), position.offset(), now);
+        };
+    membership.setEvacuatedZones(evacuatedZones.state());
+    if (changed) {
+      applyEvacuatedZones("feed");
+      sendHeartbeatIfDue(true);
+    }
+  }
+
+  private void onPeerEvacuatedZones(GossipSocket.PeerConfig peer) {
+    boolean changed = evacuatedZones.onState(peer.evacuatedZones(), time.nanos());
+    membership.setEvacuatedZones(evacuatedZones.state());
+    if (changed) {
+      applyEvacuatedZones(peer.node());
+      if (!isInOwnZone(peer.node())) {
+        gossip.send(membership.configAnnouncements(false));
+      }
+    }
+  }
+
+  private void applyEvacuatedZones(String source) {
+    EvacuatedZones.State state = evacuatedZones.state();
+    log.info(
+        "zones-evacuated",
+        () ->
+            "zones="
+                + evacuatedZones.zones(time.nanos())
+                + " epoch="
+                + state.epoch()
+                + " offset="
+                + state.offset()
+                + " source="
+                + EventLog.quote(source));
+    registry.refresh();
+    rebuildViews();
   }
 
   // A heartbeat counts only with the newest epoch, because a peer that reads the source in an
   // earlier epoch may miss what was written since.
   private void onPeerConfigState(GossipSocket.PeerConfig state) {
     epochTracker.onEpochSeen(state.epoch());
+    onPeerEvacuatedZones(state);
     boolean newest = state.epoch().equals(epochTracker.newest());
     if (state.readsSource() && newest && isInOwnZone(state.node())) {
       readPolicy.onReaderHeartbeat(time.nanos());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/RoutingConfig.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/RoutingConfig.java
@@ -4,6 +4,7 @@
 import org.amaranthmoor.caller.HostRoutes;
 import org.amaranthmoor.config.ServiceSpec;
 import org.amaranthmoor.model.ServiceName;
+import org.amaranthmoor.target.ColdStart;
 
 /**
  * One version of the operator's configuration.
@@ -16,6 +17,7 @@
  *     more often
  * @param services the services by name
  * @param healthPaths the path of the health check of each service's targets
+ * @param coldStarts what cold targets of each service take
  * @param document the document from which this was decoded, as it is sent to other nodes
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -24,11 +26,23 @@
     HostRoutes routes,
     Map<ServiceName, ServiceSpec> services,
     Map<ServiceName, String> healthPaths,
+    Map<ServiceName, ColdStart> coldStarts,
     byte[] document) {
 
-  /** Copies the services and the paths of their health checks. */
+  /** Copies the maps. */
   public RoutingConfig {
     services = Map.copyOf(services);
     healthPaths = Map.copyOf(healthPaths);
+    coldStarts = Map.copyOf(coldStarts);
+  }
+
+  /**
+   * Returns what a cold target of a service takes.
+   *
+   * @param service the service
+   * @return its limits; no limit if the service is not configured
+   */
+  ColdStart coldStart(ServiceName service) {
+    return coldStarts.getOrDefault(service, ColdStart.UNLIMITED);
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -1,6 +1,8 @@
 package org.amaranthmoor.daemon.mesh;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.target.TargetSide;
@@ -10,6 +12,7 @@
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.ColdStart;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLifecycle;
 import org.amaranthmoor.target.TargetRun;
@@ -18,8 +21,9 @@
  * Receives the reports of the target beside this node, and opens and closes the target side
  * accordingly.
  *
- * <p>Invariant: when a leave is acknowledged, the target side has been closed for the run, and the
- * leave is stored in the shared records if they can be written. Safe for use by several threads.
+ * <p>Invariants: when a leave is acknowledged, the target side has been closed for the run, and the
+ * leave is stored in the shared records if they can be written; the target side is closed while the
+ * operator has evacuated the availability zone. Safe for use by several threads.
  */
 public final class TargetRegistry {
 
@@ -43,6 +47,8 @@
   private final Membership membership;
   private final InstanceDirectory directory;
   private final Predicate<ServiceName> isKnownService;
+  private final Function<ServiceName, ColdStart> coldStarts;
+  private final BooleanSupplier zoneEvacuated;
   private final Runnable onTargetSideChange;
   private final TimeSource time;
   private final EventLog log;
@@ -50,6 +56,7 @@
   private volatile Optional<TargetLifecycle.Report> openReport = Optional.empty();
   // The last run that the target side was opened for.
   private Optional<TargetRun> lastOpenRun = Optional.empty();
+  private boolean zoneWasEvacuated;
   private boolean draining;
   private boolean stopping;
 
@@ -60,6 +67,8 @@
       Membership membership,
       InstanceDirectory directory,
       Predicate<ServiceName> isKnownService,
+      Function<ServiceName, ColdStart> coldStarts,
+      BooleanSupplier zoneEvacuated,
       Runnable onTargetSideChange,
       TimeSource time,
       EventLog log) {
@@ -69,6 +78,8 @@
     this.membership = membership;
     this.directory = directory;
     this.isKnownService = isKnownService;
+    this.coldStarts = coldStarts;
+    this.zoneEvacuated = zoneEvacuated;
     this.onTargetSideChange = onTargetSideChange;
     this.time = time;
     this.log = log;
@@ -109,10 +120,11 @@
                   + " change="
                   + change);
     }
-    refresh();
+    // Before the target side opens, so that a cold target never gets the load of a warm one.
     if (change == TargetLifecycle.Change.READY || change == TargetLifecycle.Change.NONE) {
       targetSide.onCold(report.coldLeftNanos());
     }
+    refresh();
     if (change == TargetLifecycle.Change.LEAVING) {
       directory.storeLeave(report.run());
     }
@@ -139,8 +151,15 @@
    * times a second.
    */
   synchronized void refresh() {
+    boolean evacuated = zoneEvacuated.getAsBoolean();
     Optional<TargetLifecycle.Report> ready =
-        lifecycle.ready(time.nanos()).filter(report -> !stopping);
+        lifecycle.ready(time.nanos()).filter(report -> !stopping && !evacuated);
+    ready.ifPresent(
+        report -> targetSide.setColdStart(coldStarts.apply(report.serving().service())));
+    if (zoneWasEvacuated && !evacuated) {
+      targetSide.assumeCold();
+    }
+    zoneWasEvacuated = evacuated;
     boolean sameRun =
         openReport.map(TargetLifecycle.Report::run).equals(ready.map(TargetLifecycle.Report::run));
     boolean sameService =
@@ -161,7 +180,7 @@
       }
       targetSide.open(admissionLimits(ready.get().serving().slots()));
     } else {
-      targetSide.close(ResultCode.TARGET_ABSENT);
+      targetSide.close(evacuated ? ResultCode.ZONE_EVACUATED : ResultCode.TARGET_ABSENT);
     }
     announceServedService();
     log.info(
@@ -169,6 +188,8 @@
         () ->
             "open="
                 + ready.isPresent()
+                + " zone-evacuated="
+                + evacuated
                 + ready.map(report -> " run=" + report.run().id()).orElse(""));
     onTargetSideChange.run();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -12,12 +12,16 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.model.ZoneName;
+import org.amaranthmoor.node.EvacuatedZones;
 import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.protocol.node.EvacuatedZonesState;
 import org.amaranthmoor.protocol.node.Gossip;
 
 /**
@@ -36,8 +40,14 @@
    * @param readsSource whether it reads the configuration from its source and the last read
    *     succeeded
    * @param epoch the newest epoch of the source that it knows
+   * @param evacuatedZones the zones that it knows to be evacuated
    */
-  public record PeerConfig(String node, long offset, boolean readsSource, SourceEpoch epoch) {}
+  public record PeerConfig(
+      String node,
+      long offset,
+      boolean readsSource,
+      SourceEpoch epoch,
+      EvacuatedZones.State evacuatedZones) {}
 
   /** Receives the state of other nodes' configurations. */
   public interface PeerConfigListener {
@@ -133,7 +143,22 @@
           gossip.getSender(),
           gossip.getConfigOffset(),
           gossip.getReadsSource(),
-          new SourceEpoch(Math.max(0, gossip.getSourceEpoch())));
+          new SourceEpoch(Math.max(0, gossip.getSourceEpoch())),
+          evacuatedZones(gossip));
+    }
+
+    private static EvacuatedZones.State evacuatedZones(Gossip gossip) {
+      if (!gossip.hasEvacuatedZones()) {
+        return EvacuatedZones.State.UNREAD;
+      }
+      EvacuatedZonesState message = gossip.getEvacuatedZones();
+      return new EvacuatedZones.State(
+          new SourceEpoch(Math.max(0, message.getEpoch())),
+          message.getOffset(),
+          message.getZonesList().stream()
+              .filter(Names::isName)
+              .map(ZoneName::new)
+              .collect(Collectors.toSet()));
     }
 
     // Other members may know a node that has just started before it knows them.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.model.ResultCode;
@@ -50,6 +51,11 @@
     return OptionalDouble.empty();
   }
 
+  @Override
+  public HealthReport healthReport(HttpResponse response) {
+    return new HealthReport(OptionalDouble.empty(), OptionalLong.empty());
+  }
+
   @Override
   public TargetNotice notice(HttpResponse response) {
     return TargetNotice.NONE;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/RegisteredTarget.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.ResultCode;
@@ -17,12 +18,14 @@
  * responses.
  *
  * <p>Invariant: a request is handed only to the run that reported last, for the service that it
- * reported. Safe for use by several threads.
+ * reported, and never while the target's availability zone is evacuated. Safe for use by several
+ * threads.
  */
 public final class RegisteredTarget implements LocalTarget {
 
   private final TargetLifecycle lifecycle;
   private final TargetHealth health;
+  private final LongPredicate evacuated;
   private final Consumer<TargetRun> onLeft;
   private final EventLog log;
   // Notice of the run that responded last; a new run starts without one.
@@ -34,20 +37,30 @@
    *
    * @param lifecycle the reports of the target
    * @param health the health of the target
+   * @param evacuated whether the operator has evacuated the target's availability zone, given the
+   *     current time
    * @param onLeft called when a run is found to be leaving without having reported it; must not
    *     block
    * @param log receives changes of health and of notices
    */
   public RegisteredTarget(
-      TargetLifecycle lifecycle, TargetHealth health, Consumer<TargetRun> onLeft, EventLog log) {
+      TargetLifecycle lifecycle,
+      TargetHealth health,
+      LongPredicate evacuated,
+      Consumer<TargetRun> onLeft,
+      EventLog log) {
     this.lifecycle = lifecycle;
     this.health = health;
+    this.evacuated = evacuated;
     this.onLeft = onLeft;
     this.log = log;
   }
 
   @Override
   public Optional<ResultCode> refusalCode(ServiceName service, boolean idempotent, long nowNanos) {
+    if (evacuated.test(nowNanos)) {
+      return Optional.of(ResultCode.ZONE_EVACUATED);
+    }
     if (destination(service, nowNanos).isEmpty()) {
       return Optional.of(ResultCode.TARGET_ABSENT);
     }
@@ -60,6 +73,7 @@
   public Optional<Destination> destination(ServiceName service, long nowNanos) {
     return lifecycle
         .ready(nowNanos)
+        .filter(report -> !evacuated.test(nowNanos))
         .filter(report -> report.serving().service().equals(service))
         .map(
             report ->
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.target.TargetNotice;
@@ -74,6 +75,23 @@
    */
   OptionalDouble slowdown(HttpResponse response);
 
+  /**
+   * What a target states about itself in its response to a health check.
+   *
+   * @param slowdown the factor by which it is slower than usual, as in {@link #slowdown}
+   * @param coldLeftNanos the remaining time of its cold start in nanoseconds, 0 if it is warm;
+   *     empty if the response does not state it
+   */
+  record HealthReport(OptionalDouble slowdown, OptionalLong coldLeftNanos) {}
+
+  /**
+   * Returns what a target states in its response to a health check.
+   *
+   * @param response the head of the response
+   * @return the report
+   */
+  HealthReport healthReport(HttpResponse response);
+
   /**
    * Returns the notice of the target to all its callers: the rate that it accepts and whether it is
    * leaving.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -118,7 +118,14 @@
       return;
     }
     try {
-      OptionalDouble factor = exchange(check.get());
+      long sentNanos = time.nanos();
+      Optional<TargetDialect.HealthReport> report = exchange(check.get());
+      report
+          .map(TargetDialect.HealthReport::coldLeftNanos)
+          .ifPresent(
+              coldLeft -> coldLeft.ifPresent(left -> admission.onColdReport(left, sentNanos)));
+      OptionalDouble factor =
+          report.map(TargetDialect.HealthReport::slowdown).orElse(OptionalDouble.empty());
       if (factor.isPresent()) {
         admission.onSlowdown(factor.getAsDouble(), time.nanos());
         return;
@@ -136,7 +143,8 @@
         || entity.getContent().readNBytes(MAX_BODY_BYTES + 1).length <= MAX_BODY_BYTES;
   }
 
-  private OptionalDouble exchange(HealthCheck check) throws IOException, HttpException {
+  private Optional<TargetDialect.HealthReport> exchange(HealthCheck check)
+      throws IOException, HttpException {
     TargetConnection connection = connections.acquire(check.address(), true, TIMEOUT_NANOS);
     boolean reusable = false;
     try {
@@ -150,8 +158,8 @@
       connection.readKeepAlive(response);
       reusable = discardBody(response.getEntity()) && TargetExchange.keepsAlive(request, response);
       return dialect.isHealthCheckResponse(response)
-          ? dialect.slowdown(response)
-          : OptionalDouble.empty();
+          ? Optional.of(dialect.healthReport(response))
+          : Optional.empty();
     } finally {
       if (reusable) {
         connections.release(connection);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -24,6 +24,7 @@
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.Admission.Decision;
+import org.amaranthmoor.target.ColdStart;
 import org.amaranthmoor.target.KeyLedger;
 import org.amaranthmoor.target.KeyOwnership;
 import org.amaranthmoor.target.RunNotice;
@@ -244,6 +245,7 @@
       return releaseUnused(waiter, refusal.get(), "the request was not handed over to the target");
     }
     long startNanos = time.nanos();
+    admission.onHandOver(waiter, startNanos);
     runningAttempts.put(request.id(), request.attempt());
     call.onCancel(connection::abort);
     TargetExchange exchange =
@@ -484,6 +486,20 @@
     admission.onCold(leftNanos, time.nanos());
   }
 
+  /**
+   * Sets what the target takes while it is cold.
+   *
+   * @param coldStart the limits of its service
+   */
+  public void setColdStart(ColdStart coldStart) {
+    admission.setColdStart(coldStart);
+  }
+
+  /** Assumes that the target is cold, as after a time in which it got no requests. */
+  public void assumeCold() {
+    admission.assumeCold(time.nanos());
+  }
+
   /** {@return the number of requests in progress, including those whose response is still read} */
   public int inProgress() {
     return inProgress.get();
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/ConfigHolderTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/ConfigHolderTests.java
@@ -17,7 +17,7 @@
 
   private static RoutingConfig config(long version) {
     return new RoutingConfig(
-        version, new HostRoutes(List.of(), () -> 0), Map.of(), Map.of(), new byte[0]);
+        version, new HostRoutes(List.of(), () -> 0), Map.of(), Map.of(), Map.of(), new byte[0]);
   }
 
   @Test
