--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/EvacuatedZones.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/EvacuatedZones.java
@@ -144,6 +144,7 @@
    * @return whether no request may be sent to its targets
    */
   public synchronized boolean contains(ZoneName zone, long nowNanos) {
-    return zones(nowNanos).contains(zone);
+    Long heldUntil = heldUntilNanos.get(zone);
+    return state.zones().contains(zone) || (heldUntil != null && nowNanos - heldUntil < 0);
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -355,6 +355,7 @@
     private final ServiceSnapshot service;
     private final Server server;
     private boolean callerBodyRead;
+    private boolean callerLeft;
 
     Attempt(CallRequest request, ServiceSnapshot service, Server server) {
       this.request = request;
@@ -386,6 +387,7 @@
         }
         return awaitOutcome(exchange, caller);
       } catch (IOException e) {
+        callerLeft = true;
         exchange.cancel();
         return unknown(
             ResultCode.DEADLINE_AFTER_START,
@@ -428,6 +430,7 @@
           return abandon(exchange, "the target sent no answer before the deadline");
         }
         if (caller.isClosed()) {
+          callerLeft = true;
           return abandon(exchange, "the caller closed its connection");
         }
       }
@@ -440,7 +443,8 @@
 
     private void recordOutcome(Outcome<CallResponse> outcome, long latencyNanos) {
       long nowNanos = time.nanos();
-      boolean failed = isFailure(outcome);
+      // That a caller leaves is no failure of the server.
+      boolean failed = !callerLeft && isFailure(outcome);
       boolean hasAnswer = outcome instanceof Outcome.Answered<CallResponse>;
       if (hasAnswer) {
         server.stats().onFinish(latencyNanos, failed, nowNanos);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/HttpPlatformLog.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/HttpPlatformLog.java
@@ -83,7 +83,9 @@
                 + ", but is "
                 + length);
       }
-      entries.add(new Entry(offset, in.readNBytes(length)));
+      byte[] record = new byte[length];
+      in.readFully(record);
+      entries.add(new Entry(offset, record));
     }
     return entries;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -106,14 +106,18 @@
    */
   public Outcome<CallResponse> run(InboundCall call) {
     inProgress.incrementAndGet();
-    Outcome<CallResponse> outcome = runDeduplicated(call);
-    boolean streams =
-        outcome instanceof Outcome.Answered<CallResponse> answered
-            && answered.response().body() instanceof CallResponse.Body.Streamed;
-    if (!streams) {
-      inProgress.decrementAndGet();
+    boolean streams = false;
+    try {
+      Outcome<CallResponse> outcome = runDeduplicated(call);
+      streams =
+          outcome instanceof Outcome.Answered<CallResponse> answered
+              && answered.response().body() instanceof CallResponse.Body.Streamed;
+      return withLoad(outcome);
+    } finally {
+      if (!streams) {
+        inProgress.decrementAndGet();
+      }
     }
-    return withLoad(outcome);
   }
 
   private Outcome<CallResponse> runDeduplicated(InboundCall call) {
@@ -217,7 +221,18 @@
     }
   }
 
+  // An unexpected failure must not keep the slot.
   private Outcome<CallResponse> runWithSlot(InboundCall call, SlotWaiter waiter) {
+    try {
+      return handOver(call, waiter);
+    } catch (RuntimeException e) {
+      runningAttempts.remove(call.request().id());
+      admission.release(waiter, -1, time.nanos());
+      throw e;
+    }
+  }
+
+  private Outcome<CallResponse> handOver(InboundCall call, SlotWaiter waiter) {
     CallRequest request = call.request();
     Optional<LocalTarget.Destination> destination =
         localTarget.destination(request.service(), time.nanos());
