Hold the ports of test deployments until their nodes end

Change: ReservedPorts keeps each port bound without listening; the system assigns it to no other socket, and listeners that allow reuse of addresses open it at any time.

--- a/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/deployment/Deployment.java
+++ b/amaranthmoor-testkit/src/main/java/org/amaranthmoor/testkit/deployment/Deployment.java
@@ -1,13 +1,14 @@
 package org.amaranthmoor.testkit.deployment;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.amaranthmoor.daemon.NodeDaemon;
+import org.amaranthmoor.daemon.http.ReservedPorts;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.operator.StatusView;
 import org.amaranthmoor.daemon.platform.HttpPlatformLog;
@@ -48,6 +49,7 @@
   private final LogServer logServer;
   private final List<TargetServer> targets = new ArrayList<>();
   private final List<RunningNode> nodes = new ArrayList<>();
+  private final ReservedPorts ports = new ReservedPorts();
 
   /**
    * A node with its settings.
@@ -137,9 +139,9 @@
             new ZoneName("zone-" + nodes.size() % 3),
             new RegionName("region"),
             HOST,
-            freePort(),
-            freePort(),
-            freePort(),
+            ports.reserve(),
+            ports.reserve(),
+            ports.reserve(),
             new NodeSettings.TargetSettings(
                 new TargetName(target),
                 new Endpoint(HOST, targetPort),
@@ -158,12 +160,6 @@
     return node;
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   /**
    * Publishes a note and waits for its verdict.
    *
@@ -242,5 +238,10 @@
     nodes.forEach(node -> node.daemon().halt());
     targets.forEach(TargetServer::close);
     logServer.close();
+    try {
+      ports.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException("the ports of the nodes could not be released", e);
+    }
   }
 }
