--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -101,7 +101,8 @@
   private Optional<Incarnation> supersedingIncarnation = Optional.empty();
   private long configOffset = -1;
   private SourceEpoch sourceEpoch = SourceEpoch.UNKNOWN;
-  private EvacuatedZones.State evacuatedZones = EvacuatedZones.State.UNREAD;
+  // Built once per change, as each message carries it.
+  private Optional<EvacuatedZonesState> evacuatedZones = Optional.empty();
   private long viewHash;
   private long nextSequence;
   private int zoneCyclePosition;
@@ -212,7 +213,15 @@
    * @param state the newest state that is known here
    */
   public synchronized void setEvacuatedZones(EvacuatedZones.State state) {
-    evacuatedZones = state;
+    evacuatedZones =
+        state.isRead()
+            ? Optional.of(
+                EvacuatedZonesState.newBuilder()
+                    .setEpoch(state.epoch().number())
+                    .setOffset(state.offset())
+                    .addAllZones(state.zones().stream().map(ZoneName::value).toList())
+                    .build())
+            : Optional.empty();
   }
 
   private void updateSelf(
@@ -678,13 +687,7 @@
             .setSender(self.node().value())
             .setConfigOffset(configOffset)
             .setSourceEpoch(sourceEpoch.number());
-    if (evacuatedZones.isRead()) {
-      builder.setEvacuatedZones(
-          EvacuatedZonesState.newBuilder()
-              .setEpoch(evacuatedZones.epoch().number())
-              .setOffset(evacuatedZones.offset())
-              .addAllZones(evacuatedZones.zones().stream().map(ZoneName::value).toList()));
-    }
+    evacuatedZones.ifPresent(builder::setEvacuatedZones);
     return builder;
   }
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlReader.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlReader.java
@@ -10,7 +10,6 @@
 import tools.jackson.core.ObjectReadContext;
 import tools.jackson.core.TokenStreamFactory;
 import tools.jackson.core.TokenStreamLocation;
-import tools.jackson.core.json.JsonFactory;
 import tools.jackson.dataformat.yaml.YAMLFactory;
 
 /**
@@ -24,15 +23,11 @@
   /** Maximum number of nested levels. */
   static final int MAX_DEPTH = 16;
 
-  // Created on first use, so that a process that reads only one of the formats starts faster.
+  // Created on first use, as a process that reads only JSON starts faster without it.
   private static final class Yaml {
     private static final TokenStreamFactory FACTORY = new YAMLFactory();
   }
 
-  private static final class Json {
-    private static final TokenStreamFactory FACTORY = new JsonFactory();
-  }
-
   private YamlReader() {}
 
   /**
@@ -42,23 +37,8 @@
    * @return the root, or the problems
    */
   public static ParseResult<YamlNode.Mapping> read(String text) {
-    return read(Yaml.FACTORY, "YAML", text);
-  }
-
-  /**
-   * Parses a JSON document whose root is an object.
-   *
-   * @param text the document
-   * @return the root, or the problems
-   */
-  public static ParseResult<YamlNode.Mapping> readJson(String text) {
-    return read(Json.FACTORY, "JSON", text);
-  }
-
-  private static ParseResult<YamlNode.Mapping> read(
-      TokenStreamFactory factory, String format, String text) {
     List<Problem> problems = new ArrayList<>();
-    try (JsonParser parser = factory.createParser(ObjectReadContext.empty(), text)) {
+    try (JsonParser parser = Yaml.FACTORY.createParser(ObjectReadContext.empty(), text)) {
       JsonToken first = parser.nextToken();
       if (first != JsonToken.START_OBJECT) {
         return new ParseResult.Invalid<>(
@@ -72,11 +52,21 @@
           ? new ParseResult.Valid<>(root)
           : new ParseResult.Invalid<>(problems);
     } catch (JacksonException e) {
-      problems.add(new Problem(lineOf(e), "", "not valid " + format + ": " + firstLine(e)));
+      problems.add(new Problem(lineOf(e), "", "not valid YAML: " + firstLine(e)));
       return new ParseResult.Invalid<>(problems);
     }
   }
 
+  /**
+   * Parses a JSON document whose root is an object.
+   *
+   * @param text the document
+   * @return the root, or the problems
+   */
+  public static ParseResult<YamlNode.Mapping> readJson(String text) {
+    return JsonTreeReader.read(text);
+  }
+
   private static YamlNode readValue(
       JsonParser parser, String path, int depth, List<Problem> problems) {
     JsonToken token = parser.currentToken();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -517,8 +517,11 @@
   }
 
   private void onPeerEvacuatedZones(GossipSocket.PeerConfig peer) {
+    EvacuatedZones.State before = evacuatedZones.state();
     boolean changed = evacuatedZones.onState(peer.evacuatedZones(), time.nanos());
-    membership.setEvacuatedZones(evacuatedZones.state());
+    if (!evacuatedZones.state().equals(before)) {
+      membership.setEvacuatedZones(evacuatedZones.state());
+    }
     if (changed) {
       applyEvacuatedZones(peer.node());
       if (!isInOwnZone(peer.node())) {
@@ -629,10 +632,13 @@
   // While this node knows no other member, it contacts the peers of its settings at intervals.
   private void contactPeersIfAlone() {
     long now = time.nanos();
-    if (membership.members().size() > 1 || now - nextPeerSearchNanos < 0) {
+    if (now - nextPeerSearchNanos < 0) {
       return;
     }
     nextPeerSearchNanos = now + millis(PEER_SEARCH_INTERVAL_MILLIS);
+    if (membership.members().size() > 1) {
+      return;
+    }
     gossip.send(
         settings.peers().stream()
             .filter(peer -> !peer.equals(settings.nodeEndpoint()))
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -11,8 +11,9 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
-import java.util.stream.Collectors;
+import java.util.Set;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
@@ -152,13 +153,14 @@
         return EvacuatedZones.State.UNREAD;
       }
       EvacuatedZonesState message = gossip.getEvacuatedZones();
+      Set<ZoneName> zones = new HashSet<>();
+      for (String zone : message.getZonesList()) {
+        if (Names.isName(zone)) {
+          zones.add(new ZoneName(zone));
+        }
+      }
       return new EvacuatedZones.State(
-          new SourceEpoch(Math.max(0, message.getEpoch())),
-          message.getOffset(),
-          message.getZonesList().stream()
-              .filter(Names::isName)
-              .map(ZoneName::new)
-              .collect(Collectors.toSet()));
+          new SourceEpoch(Math.max(0, message.getEpoch())), message.getOffset(), zones);
     }
 
     // Other members may know a node that has just started before it knows them.
