Open the callers' port first, and write log times without a formatter

Cause: after a loss of power callers lost an attempt for each try at a port that opens last, and the first log line built the library's date formatters.

Change: the port is open before the node is assembled, and connections are accepted when it can serve; UtcTimestamp writes the time of a log line.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -65,18 +65,40 @@
    */
   public HttpListener(InetSocketAddress address, HttpServerRequestHandler handler)
       throws IOException {
+    this(open(address), handler);
+  }
+
+  /**
+   * Starts to accept connections on a port that is open already.
+   *
+   * @param serverSocket the port, as {@link #open} returns it
+   * @param handler handles requests, each on its connection's thread
+   */
+  public HttpListener(ServerSocket serverSocket, HttpServerRequestHandler handler) {
     this.service =
         new HttpService(HttpProcessors.server("amaranthmoor"), sendContinueIfExpected(handler));
-    this.serverSocket = new ServerSocket();
-    serverSocket.setReuseAddress(true);
-    serverSocket.bind(address, ACCEPT_BACKLOG);
+    this.serverSocket = serverSocket;
     this.acceptor =
         Thread.ofPlatform()
-            .name("http-accept-" + address.getPort())
+            .name("http-accept-" + serverSocket.getLocalPort())
             .daemon()
             .start(this::acceptConnections);
   }
 
+  /**
+   * Opens a port. Until a listener accepts them, connections wait.
+   *
+   * @param address the address to listen on
+   * @return the port
+   * @throws IOException if the port cannot be opened
+   */
+  public static ServerSocket open(InetSocketAddress address) throws IOException {
+    ServerSocket serverSocket = new ServerSocket();
+    serverSocket.setReuseAddress(true);
+    serverSocket.bind(address, ACCEPT_BACKLOG);
+    return serverSocket;
+  }
+
   // Sends "100 Continue" to a client that waits for it before it sends the body. The interim
   // response is flushed explicitly, because the library would send it with the final one otherwise.
   private static HttpServerRequestHandler sendContinueIfExpected(HttpServerRequestHandler handler) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/StandardOutputHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/StandardOutputHandler.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -75,7 +74,7 @@
   public void publish(LogRecord record) {
     String line =
         "time="
-            + Instant.ofEpochMilli(record.getMillis())
+            + UtcTimestamp.format(record.getMillis())
             + " level="
             + record.getLevel()
             + " "
@@ -102,7 +101,7 @@
         if (droppedLines > 0) {
           batch.add(
               "time="
-                  + Instant.now()
+                  + UtcTimestamp.format(System.currentTimeMillis())
                   + " level=WARNING event=log-lines-dropped count="
                   + droppedLines);
         }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
+import java.net.ServerSocket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
@@ -163,6 +163,8 @@
    * Creates a node and opens its ports; {@link #start} makes it join the mesh.
    *
    * @param settings the settings of the node
+   * @param callerSocket the open port for callers, from which connections are accepted once the
+   *     node can serve them
    * @param records the records that all nodes share
    * @param feed reads the configuration
    * @param epochTracker tracks the epochs of the source that stores the records and the
@@ -171,18 +173,17 @@
    * @param targetDialect translates requests to the target and its responses
    * @param time the clock
    * @param log receives events
-   * @throws IOException if a port cannot be opened
    */
   public MeshNode(
       MeshSettings settings,
+      ServerSocket callerSocket,
       SharedRecords records,
       ConfigFeed feed,
       SourceEpochTracker epochTracker,
       CallerDialect callerDialect,
       TargetDialect targetDialect,
       TimeSource time,
-      EventLog log)
-      throws IOException {
+      EventLog log) {
     this.settings = settings;
     this.retryBurst = retryBurstFor(1);
     this.time = time;
@@ -273,8 +274,7 @@
     this.nextPeerSearchNanos = time.nanos();
     NodeGauges.add(
         metrics, targetSide, membership, follower::available, configHolder::version, log);
-    this.callerListener =
-        new HttpListener(settings.callerEndpoint().socketAddress(), callerHandler);
+    this.callerListener = new HttpListener(callerSocket, callerHandler);
   }
 
   private TargetSide createTargetSide(TargetHealth health, TargetDialect dialect) {
