--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -30,8 +30,8 @@
  *       probed before the first request starts, service times measured at an unknown speed are
  *       ignored, and a refusal that is based on an old report starts a probe for the next request.
  *   <li>A target that states a rate limit, or that is cold and fails under its usual load. Requests
- *       start no faster than the limit, nested ones first, and a refused caller is told when it may
- *       start. The speed is not probed, because the target may count the probe as a request.
+ *       start no faster than the limit, nested ones first, and a refusal carries the time of the
+ *       next start. The speed is not probed, because the target may count the probe as a request.
  * </ul>
  *
  * <p>Invariants: at most {@link Limits#concurrency()} requests are admitted and not released,
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/HandOverWindow.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/HandOverWindow.java
@@ -19,7 +19,7 @@
 
   private static final long SECOND_NANOS = 1_000_000_000L;
 
-  /** Largest number of hand-overs that are remembered; no limit of interest is higher. */
+  /** Largest number of remembered hand-overs; bounds the memory of targets without a limit. */
   private static final int MAX_REMEMBERED = 4_096;
 
   private final long firstKnownNanos;
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetRateLimiter.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetRateLimiter.java
@@ -16,9 +16,9 @@
  *       after the rate was last stated. A rate that other nodes remember applies only until the
  *       first answer.
  *   <li>While the target is cold, at most {@link ColdStart#maxPerSecond} requests are handed over
- *       within any second, whatever time passes between their start and the hand-over. As a target
- *       may become cold at any moment, a warm one gets more than that only on a current report that
- *       it is warm.
+ *       within any second, however long the hand-over takes after the start. As a target may become
+ *       cold at any moment, a warm one gets more than that only on a current report that it is
+ *       warm.
  * </ul>
  *
  * <p>Not thread-safe; {@link Admission} guards it with its lock.
@@ -248,7 +248,7 @@
         : rateWait;
   }
 
-  // The limit ends with the cold start, whatever the window says.
+  // The limit ends with the cold start.
   private long windowWaitNanos(int ahead, long nowNanos) {
     return Math.min(
         window.waitNanos(coldStart.maxPerSecond(), ahead, nowNanos), coldUntilNanos - nowNanos);
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/JsonTreeReader.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/JsonTreeReader.java
@@ -11,10 +11,10 @@
 import java.util.Map;
 
 /**
- * Parses one JSON document into nodes that know their lines.
+ * Parses one JSON document into nodes with line numbers.
  *
- * <p>A node reads JSON before it is ready. This parser initializes no decimal arithmetic, which
- * takes a large part of the processor time of a start. Confined to one thread.
+ * <p>A node reads JSON before it is ready, so this parser avoids the initialization of decimal
+ * arithmetic, which other parsers cause. Confined to one thread.
  */
 final class JsonTreeReader {
 
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/Section.java
@@ -60,9 +60,14 @@
     return mapping.entries().containsKey(key);
   }
 
-  /** {@return a reader of the same mapping whose problems are discarded} */
-  public Section ignoringProblems() {
-    return new Section(mapping, path, new ArrayList<>());
+  /**
+   * Returns a reader of the same mapping that collects its problems elsewhere.
+   *
+   * @param others receives its problems
+   * @return the reader
+   */
+  public Section collectingIn(List<Problem> others) {
+    return new Section(mapping, path, others);
   }
 
   /**
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlReader.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/yaml/YamlReader.java
@@ -13,7 +13,7 @@
 import tools.jackson.dataformat.yaml.YAMLFactory;
 
 /**
- * Parses a YAML or JSON document into nodes that know their lines.
+ * Parses a YAML or JSON document into nodes with line numbers.
  *
  * <p>Rejects duplicate keys, a second document and nesting deeper than {@value #MAX_DEPTH} levels.
  * Stateless and safe for use by several threads.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ReservedPorts.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ReservedPorts.java
@@ -8,8 +8,8 @@
 import java.util.List;
 
 /**
- * Reserves ports for nodes that must know their ports before they open them, such as the nodes of a
- * deployment on one machine.
+ * Reserves ports for nodes whose settings name their ports, such as the nodes of a deployment on
+ * one machine.
  *
  * <p>A port that is drawn and released could be taken by another process before the node binds it.
  * A reserved port stays bound, without listening: the system assigns it to no other socket, while
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -41,7 +41,7 @@
    * @param readsSource whether it reads the configuration from its source and the last read
    *     succeeded
    * @param epoch the newest epoch of the source that it knows
-   * @param evacuatedZones the zones that it knows to be evacuated
+   * @param evacuatedZones the newest evacuated zones that it has read
    */
   public record PeerConfig(
       String node,
