Log which requests were in progress when a target ended

Nothing told a target's end from a cut connection, nor equal requests under different ids. The first broken exchange that finds no process at the target's address logs all requests in progress there with their fingerprints (method, path, caller, body).

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
@@ -60,4 +60,9 @@
   public TargetNotice notice(HttpResponse response) {
     return TargetNotice.NONE;
   }
+
+  @Override
+  public Optional<String> callerHeader() {
+    return Optional.empty();
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.util.Iterator;
 import java.util.Optional;
@@ -61,6 +62,25 @@
     }
   }
 
+  /**
+   * Returns whether no process listens at an address.
+   *
+   * @param address the address
+   * @param timeoutNanos longest time to wait, in nanoseconds
+   * @return whether a connection was refused; false if it was accepted or there was no response
+   */
+  static boolean isRefused(Endpoint address, long timeoutNanos) {
+    try (Socket socket = new Socket()) {
+      socket.connect(address.socketAddress(), (int) Math.max(1, timeoutNanos / NANOS_PER_MILLI));
+      return false;
+    } catch (ConnectException e) {
+      return true;
+    } catch (IOException e) {
+      // A timeout or a failure on this side does not show that the process has ended.
+      return false;
+    }
+  }
+
   @Override
   protected InputStream createContentInputStream(
       long length, SessionInputBuffer inBuffer, InputStream inputStream) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
@@ -100,4 +100,7 @@
    * @return the notice
    */
   TargetNotice notice(HttpResponse response);
+
+  /** {@return the name of the header that identifies the caller of a request, or empty if none} */
+  Optional<String> callerHeader();
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -9,13 +9,18 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Collectors;
 import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.target.HandedOverRequests.HandedOver;
 import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.LoadReport;
@@ -60,9 +65,12 @@
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
+  private final RequestFingerprinter fingerprinter;
   private final AtomicInteger inProgress = new AtomicInteger();
   // The attempt number of each request that is in progress at the target.
   private final Map<CallId, Integer> runningAttempts = new ConcurrentHashMap<>();
+  private final HandedOverRequests handedOver = new HandedOverRequests();
+  private final Lock crashCheck = new ReentrantLock();
 
   /**
    * Creates a target side.
@@ -96,6 +104,7 @@
     this.metrics = metrics;
     this.time = time;
     this.log = log;
+    this.fingerprinter = new RequestFingerprinter(dialect.callerHeader());
   }
 
   /**
@@ -262,6 +271,8 @@
     long startNanos = time.nanos();
     admission.onHandOver(waiter, startNanos);
     runningAttempts.put(request.id(), request.attempt());
+    HandedOver handedOverRequest = new HandedOver(request, destination.get(), startNanos);
+    handedOver.add(handedOverRequest);
     call.onCancel(connection::abort);
     TargetExchange exchange =
         new TargetExchange(
@@ -272,7 +283,7 @@
             connections,
             time,
             notice -> onNotice(destination.get(), notice, startNanos),
-            end -> finish(waiter, destination.get(), end, startNanos));
+            end -> finish(waiter, handedOverRequest, end));
     return exchange.run();
   }
 
@@ -311,11 +322,12 @@
     return new Outcome.NotRun<>(code, 0, detail);
   }
 
-  private void finish(
-      SlotWaiter waiter,
-      LocalTarget.Destination destination,
-      TargetExchange.End end,
-      long startNanos) {
+  private void finish(SlotWaiter waiter, HandedOver request, TargetExchange.End end) {
+    if (end.kind() == TargetExchange.Kind.BROKEN) {
+      checkForCrash(request);
+    }
+    handedOver.remove(request);
+    long startNanos = request.startNanos();
     long now = time.nanos();
     runningAttempts.remove(waiter.request().id());
     log.requestSucceeded(
@@ -343,11 +355,54 @@
       case ANSWERED, REFUSED -> localTarget.onExchangeEnd(false, now);
       case BROKEN -> localTarget.onExchangeEnd(true, now);
       case SILENT -> localTarget.onTimeout(startNanos, now);
-      case REPLACED -> destination.run().ifPresent(localTarget::onReplaced);
+      case REPLACED -> request.destination().run().ifPresent(localTarget::onReplaced);
       case CANCELLED -> {}
     }
   }
 
+  // A connection may also break while the target runs on. The first broken exchange that finds no
+  // process at the target's address records all requests that were in progress there.
+  private void checkForCrash(HandedOver broken) {
+    crashCheck.lock();
+    try {
+      LocalTarget.Destination destination = broken.destination();
+      if (handedOver.contains(broken)
+          && TargetConnection.isRefused(destination.address(), CONNECT_TIMEOUT_NANOS)) {
+        onTargetEnded(destination, handedOver.removeAll(destination));
+      }
+    } finally {
+      crashCheck.unlock();
+    }
+  }
+
+  private void onTargetEnded(LocalTarget.Destination destination, List<HandedOver> inProgress) {
+    long now = time.nanos();
+    boolean leaving = destination.run().map(localTarget::isLeaving).orElse(false);
+    log.warn(
+        "target-ended",
+        () ->
+            "run="
+                + destination.run().map(TargetRun::id).orElse("")
+                + " leaving="
+                + leaving
+                + " in-progress="
+                + inProgress.stream()
+                    .map(request -> describe(request, now))
+                    .collect(Collectors.joining(",")));
+  }
+
+  private String describe(HandedOver handedOverRequest, long nowNanos) {
+    CallRequest request = handedOverRequest.request();
+    return request.id()
+        + ":"
+        + fingerprinter.fingerprint(request)
+        + ":attempt-"
+        + request.attempt()
+        + ":"
+        + (nowNanos - handedOverRequest.startNanos()) / NANOS_PER_MILLI
+        + "ms";
+  }
+
   // Makes the last checks and commits the request; only the hand-over follows.
   private Optional<ResultCode> checkAndCommit(InboundCall call) {
     CallRequest request = call.request();
