--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -1,5 +1,7 @@
 package org.amaranthmoor.model;
 
+import java.util.Optional;
+
 /**
  * Numbered results of a call, listed in docs/RESULT-CODES.md.
  *
@@ -52,6 +54,8 @@
   TARGET_LIMITED(119, Kind.NOT_RUN, 503, true),
   /** The operator has evacuated the availability zone of the target. */
   ZONE_EVACUATED(120, Kind.NOT_RUN, 503, true),
+  /** Targets crashed one after another when they ran such a request. */
+  REQUEST_QUARANTINED(121, Kind.NOT_RUN, 503, false),
   /** The connection to the target side was lost after the request may have been handed over. */
   LINK_LOST(201, Kind.UNKNOWN, 502, true),
   /** The deadline passed after the request may have been handed over. */
@@ -107,12 +111,23 @@
    * @throws IllegalArgumentException if no code has that number
    */
   public static ResultCode of(int number) {
+    return find(number)
+        .orElseThrow(() -> new IllegalArgumentException("no result code has the number " + number));
+  }
+
+  /**
+   * Finds a code that another build may have sent, which may be newer.
+   *
+   * @param number the number
+   * @return the code, or empty if this build does not know it
+   */
+  public static Optional<ResultCode> find(int number) {
     for (ResultCode code : values()) {
       if (code.number == number) {
-        return code;
+        return Optional.of(code);
       }
     }
-    throw new IllegalArgumentException("no result code has the number " + number);
+    return Optional.empty();
   }
 
   /** {@return the number that callers see} */
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -20,6 +20,7 @@
 import org.amaranthmoor.protocol.node.EvacuatedZonesState;
 import org.amaranthmoor.protocol.node.Gossip;
 import org.amaranthmoor.protocol.node.MemberState;
+import org.amaranthmoor.protocol.node.RequestSuspicion;
 
 /**
  * Failure detection and dissemination of member states among the nodes of one region, after the
@@ -103,6 +104,7 @@
   private SourceEpoch sourceEpoch = SourceEpoch.UNKNOWN;
   // Built once per change, as each message carries it.
   private Optional<EvacuatedZonesState> evacuatedZones = Optional.empty();
+  private long suspicionsHash;
   private long viewHash;
   private long nextSequence;
   private int zoneCyclePosition;
@@ -224,6 +226,15 @@
             : Optional.empty();
   }
 
+  /**
+   * Sets the hash of the suspicions against requests that this node's messages carry.
+   *
+   * @param hash the hash
+   */
+  public synchronized void setSuspicionsHash(long hash) {
+    suspicionsHash = hash;
+  }
+
   private void updateSelf(
       Member.Liveness liveness,
       boolean draining,
@@ -366,6 +377,30 @@
         .toList();
   }
 
+  /**
+   * Creates messages that carry suspicions against requests to all reachable members.
+   *
+   * @param suspicions the suspicions, few enough for a datagram
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> suspicionAnnouncements(List<RequestSuspicion> suspicions) {
+    Gossip announcement = message(Gossip.Kind.ACK).addAllSuspicions(suspicions).build();
+    return sameZoneFirst().stream().map(member -> messageTo(member, announcement)).toList();
+  }
+
+  /**
+   * Creates a message that carries suspicions against requests to one member.
+   *
+   * @param receiver the member
+   * @param suspicions the suspicions, few enough for a datagram
+   * @return the message to send, or empty if the member is not known
+   */
+  public synchronized Optional<Outgoing> suspicionReply(
+      NodeName receiver, List<RequestSuspicion> suspicions) {
+    Gossip reply = message(Gossip.Kind.ACK).addAllSuspicions(suspicions).build();
+    return member(receiver).map(member -> messageTo(member, reply));
+  }
+
   private List<Member> sameZoneFirst() {
     List<Member> others = new ArrayList<>();
     for (MemberEntry entry : members.values()) {
@@ -686,7 +721,8 @@
             .setKind(kind)
             .setSender(self.node().value())
             .setConfigOffset(configOffset)
-            .setSourceEpoch(sourceEpoch.number());
+            .setSourceEpoch(sourceEpoch.number())
+            .setSuspicionsHash(suspicionsHash);
     evacuatedZones.ifPresent(builder::setEvacuatedZones);
     return builder;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -22,6 +22,8 @@
 import org.amaranthmoor.daemon.caller.ReleaseNoteRoutingSource;
 import org.amaranthmoor.daemon.caller.RoutingSnapshots;
 import org.amaranthmoor.daemon.caller.TargetConnector;
+import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
+import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
@@ -32,6 +34,7 @@
 import org.amaranthmoor.daemon.node.PeerAddress;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
+import org.amaranthmoor.daemon.node.SuspicionExchange;
 import org.amaranthmoor.daemon.operator.AdminHandler;
 import org.amaranthmoor.daemon.operator.NodeGauges;
 import org.amaranthmoor.daemon.operator.StatusCollector;
@@ -44,11 +47,13 @@
 import org.amaranthmoor.daemon.platform.PeerStateReader;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.daemon.settings.NodeSettings;
+import org.amaranthmoor.daemon.target.CrashListener;
 import org.amaranthmoor.daemon.target.LeaseRenewer;
 import org.amaranthmoor.daemon.target.NativeTargetDialect;
 import org.amaranthmoor.daemon.target.StaticTarget;
 import org.amaranthmoor.daemon.target.StoredResponse;
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
+import org.amaranthmoor.daemon.target.TargetDialect;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
@@ -63,11 +68,13 @@
 import org.amaranthmoor.platform.StateHolder;
 import org.amaranthmoor.platform.StateReader;
 import org.amaranthmoor.target.Admission;
+import org.amaranthmoor.target.CrashLedger;
 import org.amaranthmoor.target.ExchangeLedger;
 import org.amaranthmoor.target.KeyLedger;
 import org.amaranthmoor.target.KeyOwners;
 import org.amaranthmoor.target.KeyOwnership;
 import org.amaranthmoor.target.NoticeCache;
+import org.amaranthmoor.target.SuspectRequest;
 
 /**
  * A node that is configured by the log: assembles the entry side, the target side, gossip and the
@@ -92,6 +99,8 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final StateHolder stateHolder = new StateHolder();
   private final Membership membership;
+  private final CrashLedger crashLedger = new CrashLedger();
+  private final SuspicionExchange suspicions;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -134,8 +143,13 @@
     this.membership =
         new Membership(
             self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
+    this.suspicions = new SuspicionExchange(crashLedger, membership, time, log);
     this.ownership = new AtomicReference<>(new KeyOwnership(selfMember()));
-    this.targetSide = createTargetSide();
+    TargetDialect targetDialect = new NativeTargetDialect();
+    RequestQuarantine quarantine =
+        new RequestQuarantine(
+            crashLedger, new RequestFingerprinter(targetDialect.callerHeader()), time);
+    this.targetSide = createTargetSide(targetDialect, quarantine);
     this.views =
         new RoutingSnapshots(settings.zone(), RoutingSnapshots.ServicePolicies.defaults(), time);
     this.links =
@@ -145,6 +159,7 @@
             executor,
             views::onLoadReport,
             new NoticeCache(),
+            quarantine,
             metrics,
             time,
             node -> false);
@@ -154,7 +169,8 @@
     LoadShedder shedder = new LoadShedder(time.nanos());
     TargetConnector access = new TargetConnector(identity, targetSide, links, executor);
     EntrySide entrySide =
-        new EntrySide(settings.zone(), views, access, links, shedder, metrics, time, log);
+        new EntrySide(
+            settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
     this.callerHandler =
         new CallerHandler(
             views, entrySide, new NativeCallerDialect(time), targetSide::runningAttempt, time);
@@ -181,6 +197,7 @@
         metrics,
         targetSide,
         membership,
+        crashLedger,
         logFollower::available,
         () -> stateHolder.current().offset(),
         log);
@@ -192,6 +209,7 @@
             targetSide,
             new ExchangeLedger(),
             queries,
+            suspicions,
             identity,
             executor,
             metrics,
@@ -203,6 +221,7 @@
             group,
             membership,
             peerConfig -> onPeerOffset(peerConfig.offset()),
+            suspicions,
             metrics,
             time);
     this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
@@ -212,7 +231,7 @@
             new AdminHandler(metrics, this::notReadyReason, this::status));
   }
 
-  private TargetSide createTargetSide() {
+  private TargetSide createTargetSide(TargetDialect dialect, RequestQuarantine quarantine) {
     Admission admission =
         new Admission(
             settings.target().slots(),
@@ -229,13 +248,28 @@
         keyLedger,
         ownership,
         new StaticTarget(target.address()),
-        new NativeTargetDialect(),
+        dialect,
         connections,
+        quarantine,
+        new CrashReporter(),
         metrics,
         time,
         log);
   }
 
+  private final class CrashReporter implements CrashListener {
+
+    @Override
+    public void onCrash(List<SuspectRequest> suspects) {
+      gossip.send(suspicions.announcements(suspects));
+    }
+
+    @Override
+    public void onQuarantineLifted() {
+      suspicions.refresh();
+    }
+  }
+
   private InetSocketAddress address(int port) {
     return new InetSocketAddress(settings.host(), port);
   }
@@ -367,6 +401,7 @@
   }
 
   private void tick() {
+    tasks.run(suspicions::refresh);
     tasks.run(gossip::tick);
     tasks.run(
         () ->
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -157,7 +157,9 @@
   private Outcome.NotRun<CallResponse> withRetryDelay(
       Outcome.NotRun<CallResponse> notRun, CallRequest request) {
     OptionalDouble maxDelayShare = dialect.maxRetryDelayShare();
-    if (maxDelayShare.isEmpty()) {
+    // An earlier retry is refused too.
+    boolean quarantined = notRun.code() == ResultCode.REQUEST_QUARANTINED;
+    if (maxDelayShare.isEmpty() || quarantined) {
       return notRun;
     }
     long nowNanos = time.nanos();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -13,6 +13,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.PeerLinks;
@@ -60,6 +61,7 @@
   private final TargetConnector connector;
   private final PeerLinks links;
   private final LoadShedder loadShedder;
+  private final RequestQuarantine quarantine;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
@@ -72,6 +74,7 @@
    * @param connector opens exchanges
    * @param links links to other nodes, which carry probes
    * @param loadShedder decides which calls are refused when processor time is short
+   * @param quarantine refuses requests that must reach no target
    * @param metrics counts calls
    * @param time the time source
    * @param log receives the outcomes of calls
@@ -82,6 +85,7 @@
       TargetConnector connector,
       PeerLinks links,
       LoadShedder loadShedder,
+      RequestQuarantine quarantine,
       NodeMetrics metrics,
       TimeSource time,
       EventLog log) {
@@ -90,6 +94,7 @@
     this.connector = connector;
     this.links = links;
     this.loadShedder = loadShedder;
+    this.quarantine = quarantine;
     this.metrics = metrics;
     this.time = time;
     this.log = log;
@@ -132,14 +137,9 @@
       service.get().retryBudget().onInheritedRetry();
     }
     CallResult result =
-        admits(request, startNanos)
-            ? tryServers(request, caller, service.get())
-            : new CallResult(
-                notRun(
-                    ResultCode.NODE_BUSY,
-                    "the node sheds load because its processor time is short"),
-                Optional.empty(),
-                "");
+        refusal(request, startNanos)
+            .map(refusal -> new CallResult(refusal, Optional.empty(), ""))
+            .orElseGet(() -> tryServers(request, caller, service.get()));
     long durationNanos = time.nanos() - startNanos;
     recordCall(service.get(), result.outcome(), durationNanos);
     Supplier<String> line =
@@ -172,6 +172,20 @@
     return result;
   }
 
+  private Optional<Outcome.NotRun<CallResponse>> refusal(CallRequest request, long nowNanos) {
+    return quarantine
+        .refusal(request)
+        .or(
+            () ->
+                admits(request, nowNanos)
+                    ? Optional.empty()
+                    : Optional.of(
+                        new Outcome.NotRun<>(
+                            ResultCode.NODE_BUSY,
+                            0,
+                            "the node sheds load because its processor time is short")));
+  }
+
   private boolean admits(CallRequest request, long nowNanos) {
     double randomValue = ThreadLocalRandom.current().nextDouble();
     return request.nested() || loadShedder.admits(request.priority(), randomValue, nowNanos);
@@ -198,6 +212,13 @@
             notRun(codeIfNoneTried, "no target accepts the request"), Optional.empty(), "");
     int reachedTargets = 0;
     for (int tried = 1; tried <= MAX_SERVERS_TRIED; tried++) {
+      Optional<Outcome.NotRun<CallResponse>> quarantined = quarantine.refusal(request);
+      if (quarantined.isPresent()) {
+        return new CallResult(
+            preferredOutcome(result.outcome(), quarantined.get()),
+            result.server(),
+            result.attempts());
+      }
       Optional<AttemptPlan.Choice> choice = chooseServer(request, service, attemptPlan);
       if (choice.isEmpty()) {
         return result;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -14,22 +14,29 @@
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.RegionName;
+import org.amaranthmoor.model.RequestFingerprint;
 import org.amaranthmoor.model.SourceEpoch;
+import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.SourceEpochTracker;
 import org.amaranthmoor.protocol.platform.InstanceRecord;
 import org.amaranthmoor.protocol.platform.LeftRun;
+import org.amaranthmoor.protocol.platform.QuarantineRecord;
+import org.amaranthmoor.target.CrashLedger;
+import org.amaranthmoor.target.SuspectRequest;
+import org.amaranthmoor.target.Suspicion;
 import org.amaranthmoor.target.TargetRun;
 
 /**
  * Discovers other nodes through shared records, and stores there which runs of this node's target
  * have left.
  *
- * <p>A node writes its record when it starts for the first time and when its target leaves. It
- * reads all records once at its start; on the first start it writes its own before, so that of two
- * nodes that start together at least one finds the other. Everything else spreads by gossip. When
- * the source has been restored from an older copy, the node writes its record again.
+ * <p>A node writes its record when it starts for the first time, when its target leaves, and when a
+ * request is quarantined because its target crashed, or is cleared. It reads all records once at
+ * its start; on the first start it writes its own before, so that of two nodes that start together
+ * at least one finds the other. Everything else spreads by gossip. When the source has been
+ * restored from an older copy, the node writes its record again.
  *
  * <p>Invariant: the leaves that earlier processes of this node acknowledged count as known only if
  * the record that was read is of the newest epoch. Safe for use by several threads.
@@ -48,6 +55,9 @@
    */
   private static final long READ_DELAY_MILLIS = 700;
 
+  /** Largest number of requests of the quarantine in a record. */
+  private static final int MAX_QUARANTINE_RECORDS = 16;
+
   /** Longest wait for the epoch of the source before the first write, in milliseconds. */
   private static final long EPOCH_TIMEOUT_MILLIS = 500;
 
@@ -63,13 +73,20 @@
    * @param others the other nodes
    * @param leftRuns runs whose leave an earlier process of this node acknowledged
    * @param historyKnown whether these are all such runs; false if the source may have lost some
+   * @param quarantine requests that a node knew to be quarantined, or to have been
    */
-  record Contents(List<Member> others, List<TargetRun> leftRuns, boolean historyKnown) {}
+  record Contents(
+      List<Member> others,
+      List<TargetRun> leftRuns,
+      boolean historyKnown,
+      List<SuspectRequest> quarantine) {}
 
   private final MeshSettings settings;
   private final SharedRecords records;
   private final SourceEpochTracker epochTracker;
+  private final CrashLedger crashLedger;
   private final Consumer<Contents> onRead;
+  private final TimeSource time;
   private final EventLog log;
   private final List<TargetRun> leftRuns = new ArrayList<>();
   private final Object writeLock = new Object();
@@ -84,13 +101,17 @@
       MeshSettings settings,
       SharedRecords records,
       SourceEpochTracker epochTracker,
+      CrashLedger crashLedger,
       Consumer<Contents> onRead,
+      TimeSource time,
       EventLog log) {
     this.settings = settings;
     this.records = records;
     this.epochTracker = epochTracker;
+    this.crashLedger = crashLedger;
     this.historyKnown = settings.firstStart();
     this.onRead = onRead;
+    this.time = time;
     this.log = log;
     this.thread = Thread.ofVirtual().name("instance-directory").unstarted(this::run);
   }
@@ -193,6 +214,9 @@
         record.addLeftRuns(
             LeftRun.newBuilder().setId(run.id()).setStartedMillis(run.startedMillis()));
       }
+      crashLedger
+          .quarantineHistory(MAX_QUARANTINE_RECORDS, time.nanos())
+          .forEach(suspect -> record.addQuarantine(toRecord(suspect)));
       return switch (records.write(settings.node().value(), record.build().toByteArray())) {
         case SharedRecords.WriteResult.Stored stored -> {
           epochTracker.onRecordStored(stored.epoch());
@@ -204,6 +228,45 @@
     }
   }
 
+  private QuarantineRecord toRecord(SuspectRequest suspect) {
+    return QuarantineRecord.newBuilder()
+        .setFingerprintHigh(suspect.fingerprint().high())
+        .setFingerprintLow(suspect.fingerprint().low())
+        .setClearances(suspect.suspicion().clearances())
+        .setCrashes(suspect.suspicion().crashes())
+        .setChangedMillis(time.wallMillis() - suspect.ageMillis())
+        .build();
+  }
+
+  // An age by the clock of another instance; one that was set back makes it younger.
+  private Optional<SuspectRequest> toSuspect(QuarantineRecord record) {
+    boolean valid = record.getClearances() >= 0 && record.getCrashes() >= 0;
+    return valid
+        ? Optional.of(
+            new SuspectRequest(
+                new RequestFingerprint(record.getFingerprintHigh(), record.getFingerprintLow()),
+                new Suspicion(record.getClearances(), record.getCrashes()),
+                Math.max(0, time.wallMillis() - record.getChangedMillis())))
+        : Optional.empty();
+  }
+
+  /**
+   * Stores which requests are quarantined, so that a restart of all nodes does not forget them.
+   * Does not block; a failed write is retried.
+   */
+  void storeQuarantine() {
+    Thread.startVirtualThread(
+        () -> {
+          try {
+            // The first read adds the leaves of earlier processes to the record.
+            thread.join();
+            writeUntilStored();
+          } catch (InterruptedException e) {
+            log.warn("quarantine-not-kept", () -> "detail=interrupted");
+          }
+        });
+  }
+
   /**
    * Stores in the shared records that a run leaves, so that the next process of this node knows it.
    * Blocks for at most the time limit of one write; a failed write is retried in the background.
@@ -241,10 +304,16 @@
   private boolean applyRecords(SharedRecords.ReadResult.AllRecords all) {
     epochTracker.onEpochSeen(all.epoch());
     List<Member> others = new ArrayList<>();
+    List<SuspectRequest> quarantine = new ArrayList<>();
     Optional<InstanceRecord> own = Optional.empty();
     for (Map.Entry<String, byte[]> entry : all.byKey().entrySet()) {
       Optional<InstanceRecord> record = parse(entry);
       record.ifPresent(found -> epochTracker.onPastEpoch(new SourceEpoch(found.getFirstEpoch())));
+      record.stream()
+          .flatMap(found -> found.getQuarantineList().stream())
+          .map(this::toSuspect)
+          .flatMap(Optional::stream)
+          .forEach(quarantine::add);
       if (entry.getKey().equals(settings.node().value())) {
         own = record;
       } else {
@@ -264,7 +333,7 @@
         }
       }
     }
-    onRead.accept(new Contents(others, ownLeftRuns, historyKnown));
+    onRead.accept(new Contents(others, ownLeftRuns, historyKnown, quarantine));
     return upToDate;
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -22,6 +22,8 @@
 import org.amaranthmoor.daemon.caller.EntrySide;
 import org.amaranthmoor.daemon.caller.RoutingSnapshots;
 import org.amaranthmoor.daemon.caller.TargetConnector;
+import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
+import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.exchange.TimedExecutor;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.log.EventLog;
@@ -31,8 +33,10 @@
 import org.amaranthmoor.daemon.node.NodeIdentity;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
+import org.amaranthmoor.daemon.node.SuspicionExchange;
 import org.amaranthmoor.daemon.operator.NodeGauges;
 import org.amaranthmoor.daemon.settings.Endpoint;
+import org.amaranthmoor.daemon.target.CrashListener;
 import org.amaranthmoor.daemon.target.RegisteredTarget;
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
 import org.amaranthmoor.daemon.target.TargetDialect;
@@ -53,11 +57,13 @@
 import org.amaranthmoor.node.SourceEpochTracker;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.ColdStart;
+import org.amaranthmoor.target.CrashLedger;
 import org.amaranthmoor.target.ExchangeLedger;
 import org.amaranthmoor.target.KeyLedger;
 import org.amaranthmoor.target.KeyOwners;
 import org.amaranthmoor.target.KeyOwnership;
 import org.amaranthmoor.target.NoticeCache;
+import org.amaranthmoor.target.SuspectRequest;
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLifecycle;
 import org.amaranthmoor.target.TargetRun;
@@ -130,6 +136,8 @@
   private final SourceEpochTracker epochTracker;
   private final EvacuatedZones evacuatedZones = new EvacuatedZones();
   private final Membership membership;
+  private final CrashLedger crashLedger = new CrashLedger();
+  private final SuspicionExchange suspicions;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -193,11 +201,15 @@
     this.membership =
         new Membership(
             self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
+    this.suspicions = new SuspicionExchange(crashLedger, membership, time, log);
     this.readPolicy = new ConfigReadPolicy(settings.node());
     this.epochTracker = epochTracker;
     this.lifecycle = new TargetLifecycle(settings.firstStart());
     TargetHealth health = new TargetHealth();
-    this.targetSide = createTargetSide(health, targetDialect);
+    RequestQuarantine quarantine =
+        new RequestQuarantine(
+            crashLedger, new RequestFingerprinter(targetDialect.callerHeader()), time);
+    this.targetSide = createTargetSide(health, targetDialect, quarantine);
     this.views =
         new RoutingSnapshots(
             settings.zone(),
@@ -212,6 +224,7 @@
             executor,
             views::onLoadReport,
             new NoticeCache(),
+            quarantine,
             metrics,
             time,
             this::isInOtherZone);
@@ -220,11 +233,13 @@
         new TimedExecutor(executor, delay -> shedder.onSchedulingDelay(delay, time.nanos()), time);
     TargetConnector access = new TargetConnector(identity, targetSide, links, timed);
     EntrySide entrySide =
-        new EntrySide(settings.zone(), views, access, links, shedder, metrics, time, log);
+        new EntrySide(
+            settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
     this.callerHandler =
         new CallerHandler(views, entrySide, callerDialect, targetSide::runningAttempt, time);
     this.directory =
-        new InstanceDirectory(settings, records, epochTracker, this::onRecordsRead, log);
+        new InstanceDirectory(
+            settings, records, epochTracker, crashLedger, this::onRecordsRead, time, log);
     this.registry =
         new TargetRegistry(
             lifecycle,
@@ -258,6 +273,7 @@
             targetSide,
             new ExchangeLedger(),
             new MeshQueries(settings, identity, configHolder, targetSide, views),
+            suspicions,
             identity,
             timed,
             metrics,
@@ -269,15 +285,23 @@
             group,
             membership,
             this::onPeerConfigState,
+            suspicions,
             metrics,
             time);
     this.nextPeerSearchNanos = time.nanos();
     NodeGauges.add(
-        metrics, targetSide, membership, follower::available, configHolder::version, log);
+        metrics,
+        targetSide,
+        membership,
+        crashLedger,
+        follower::available,
+        configHolder::version,
+        log);
     this.callerListener = new HttpListener(callerSocket, callerHandler);
   }
 
-  private TargetSide createTargetSide(TargetHealth health, TargetDialect dialect) {
+  private TargetSide createTargetSide(
+      TargetHealth health, TargetDialect dialect, RequestQuarantine quarantine) {
     Admission admission =
         new Admission(INITIAL_SLOTS, 0, RandomGenerator.getDefault(), time.nanos());
     TargetConnectionPool connections =
@@ -297,6 +321,8 @@
             lifecycle, health, this::isOwnZoneEvacuated, this::onLeaveDetected, log),
         dialect,
         connections,
+        quarantine,
+        new CrashReporter(),
         metrics,
         time,
         log);
@@ -307,6 +333,29 @@
     executor.execute(() -> tasks.run(() -> registry.onLeave(run)));
   }
 
+  // Tells other nodes of a crash, and stores a quarantine.
+  private final class CrashReporter implements CrashListener {
+
+    @Override
+    public void onCrash(List<SuspectRequest> suspects) {
+      gossip.send(suspicions.announcements(suspects));
+      boolean quarantined =
+          suspects.stream()
+              .anyMatch(suspect -> suspect.suspicion().crashes() >= CrashLedger.QUARANTINE_CRASHES);
+      if (quarantined) {
+        log.warn(
+            "quarantine", () -> "requests=" + crashLedger.quarantinedCount() + " source=crash");
+        directory.storeQuarantine();
+      }
+    }
+
+    @Override
+    public void onQuarantineLifted() {
+      suspicions.refresh();
+      directory.storeQuarantine();
+    }
+  }
+
   private Optional<TargetProbe.HealthCheck> targetHealthCheck() {
     long now = time.nanos();
     Optional<TargetLifecycle.Report> report =
@@ -425,6 +474,8 @@
       lifecycle.onHistoryKnown();
     }
     contents.others().forEach(membership::learn);
+    crashLedger.merge(contents.quarantine(), time.nanos());
+    suspicions.refresh();
     registry.refresh();
     log.info(
         "directory-read",
@@ -435,6 +486,8 @@
                 + contents.leftRuns().size()
                 + " whole-history="
                 + contents.historyKnown()
+                + " quarantined="
+                + crashLedger.quarantinedCount()
                 + " epoch="
                 + epochTracker.newest());
     gossip.send(membership.initialSyncRequests());
@@ -616,6 +669,7 @@
 
   private void runPeriodicTasks() {
     tasks.run(gossip::tick);
+    tasks.run(suspicions::refresh);
     tasks.run(this::handleEpochChange);
     tasks.run(() -> sendHeartbeatIfDue(false));
     tasks.run(registry::refresh);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -30,6 +30,7 @@
 import org.amaranthmoor.protocol.node.Refused;
 import org.amaranthmoor.protocol.node.ResponseHead;
 import org.amaranthmoor.target.RunNotice;
+import org.amaranthmoor.target.SuspectRequest;
 import org.amaranthmoor.target.TargetNotice;
 import org.amaranthmoor.target.TargetRun;
 
@@ -55,6 +56,7 @@
       CallRequest request,
       Incarnation target,
       Optional<RunNotice> rememberedNotice,
+      Optional<SuspectRequest> suspect,
       long offset,
       long nowNanos) {
     OpenCall.Builder open =
@@ -78,6 +80,7 @@
             .setPatiencePercent(request.maxWaitPercent())
             .setNeeded(request.nested());
     rememberedNotice.ifPresent(notice -> open.setRemembered(toMessage(notice)));
+    suspect.ifPresent(known -> open.setSuspicion(SuspicionExchange.toMessage(known)));
     request.key().ifPresent(key -> open.setIdempotencyKey(key.toString()));
     request.headers().forEach(header -> open.addHeaders(toMessage(header)));
     return Frame.newBuilder().setOpenCall(open).build();
@@ -153,7 +156,8 @@
     Refused refused =
         Refused.newBuilder()
             .setStream(stream)
-            .setCode(notRun.code().number())
+            .setCode(codeOfEveryBuild(notRun.code()).number())
+            .setExactCode(notRun.code().number())
             .setRetryAfterMillis((int) notRun.retryAfterMillis())
             .setDetail(notRun.detail())
             .setLoad(toMessage(status))
@@ -161,6 +165,21 @@
     return Frame.newBuilder().setRefused(refused).build();
   }
 
+  // A build that does not know a code must not fail to read it.
+  private static ResultCode codeOfEveryBuild(ResultCode code) {
+    return code == ResultCode.REQUEST_QUARANTINED ? ResultCode.NO_TARGET : code;
+  }
+
+  static ResultCode toCode(Refused refused) {
+    return ResultCode.find(refused.getExactCode())
+        .or(() -> ResultCode.find(refused.getCode()))
+        .orElse(ResultCode.NO_TARGET);
+  }
+
+  static ResultCode toCode(Failed failed) {
+    return ResultCode.find(failed.getCode()).orElse(ResultCode.TARGET_BROKE_OFF);
+  }
+
   static Frame failed(long stream, ResultCode code, String detail, TargetSide.Status status) {
     Failed failed =
         Failed.newBuilder()
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -62,6 +62,7 @@
 
   private final Membership membership;
   private final PeerConfigListener peerConfigListener;
+  private final SuspicionExchange suspicions;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final Channel channel;
@@ -74,6 +75,7 @@
    * @param group event loops of the channel
    * @param membership handles received messages and creates the messages to send
    * @param peerConfigListener receives the state of other nodes' configurations
+   * @param suspicions exchanges suspicions against requests
    * @param metrics counts bytes and messages that could not be handled
    * @param time the clock
    */
@@ -83,10 +85,12 @@
       EventLoopGroup group,
       Membership membership,
       PeerConfigListener peerConfigListener,
+      SuspicionExchange suspicions,
       NodeMetrics metrics,
       TimeSource time) {
     this.membership = membership;
     this.peerConfigListener = peerConfigListener;
+    this.suspicions = suspicions;
     this.metrics = metrics;
     this.time = time;
     this.channel =
@@ -133,6 +137,7 @@
         Gossip gossip = Gossip.parseFrom(bytes);
         send(membership.receive(gossip, time.nanos()));
         syncWithUnknown(gossip.getSender(), packet.sender());
+        send(suspicions.receive(gossip));
         peerConfigListener.onPeerConfig(peerConfig(gossip));
       } catch (InvalidProtocolBufferException e) {
         metrics.countLateFrame();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -95,13 +95,13 @@
     link.removeStream(this);
     complete(
         new Outcome.NotRun<>(
-            ResultCode.of(refused.getCode()), refused.getRetryAfterMillis(), refused.getDetail()));
+            Frames.toCode(refused), refused.getRetryAfterMillis(), refused.getDetail()));
   }
 
   void onFailed(Failed failed) {
     link.removeStream(this);
     responseBody.fail(failed.getDetail());
-    complete(new Outcome.Unknown<>(ResultCode.of(failed.getCode()), failed.getDetail()));
+    complete(new Outcome.Unknown<>(Frames.toCode(failed), failed.getDetail()));
   }
 
   void onHead(ResponseHead head) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -21,6 +21,7 @@
 import org.amaranthmoor.protocol.node.Load;
 import org.amaranthmoor.protocol.node.StateReply;
 import org.amaranthmoor.target.RunNotice;
+import org.amaranthmoor.target.SuspectRequest;
 
 /**
  * One TCP connection to another node's target side.
@@ -100,7 +101,11 @@
 
   /** Opens a stream; returns empty, and sends nothing, if the link is not connected. */
   Optional<OutboundStream> open(
-      CallRequest request, Optional<RunNotice> rememberedNotice, long configOffset, long nowNanos) {
+      CallRequest request,
+      Optional<RunNotice> rememberedNotice,
+      Optional<SuspectRequest> suspect,
+      long configOffset,
+      long nowNanos) {
     if (!usable()) {
       return Optional.empty();
     }
@@ -109,7 +114,13 @@
     streams.put(stream.id(), stream);
     send(
         Frames.openCall(
-            stream.id(), request, address.incarnation(), rememberedNotice, configOffset, nowNanos));
+            stream.id(),
+            request,
+            address.incarnation(),
+            rememberedNotice,
+            suspect,
+            configOffset,
+            nowNanos));
     if (lost && streams.remove(stream.id()) != null) {
       owner.settleLost(this, stream);
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -20,6 +20,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.Exchange;
+import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.NodeName;
@@ -74,6 +75,7 @@
   private final ExecutorService executor;
   private final LoadListener loadListener;
   private final NoticeCache notices;
+  private final RequestQuarantine quarantine;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final Predicate<NodeName> isInOtherZone;
@@ -91,6 +93,7 @@
    * @param executor runs settlements of requests whose link was lost
    * @param loadListener receives load reports
    * @param notices keeps the last notice of each target
+   * @param quarantine knows what is suspected of a request
    * @param metrics counts control bytes and late frames
    * @param time the clock
    * @param isInOtherZone whether a node is in another availability zone, so that its link is
@@ -102,6 +105,7 @@
       ExecutorService executor,
       LoadListener loadListener,
       NoticeCache notices,
+      RequestQuarantine quarantine,
       NodeMetrics metrics,
       TimeSource time,
       Predicate<NodeName> isInOtherZone) {
@@ -110,6 +114,7 @@
     this.executor = executor;
     this.loadListener = loadListener;
     this.notices = notices;
+    this.quarantine = quarantine;
     this.metrics = metrics;
     this.time = time;
     this.isInOtherZone = isInOtherZone;
@@ -127,7 +132,12 @@
     return link(address)
         .flatMap(
             link ->
-                link.open(request, notices.restriction(address.node()), configOffset, time.nanos()))
+                link.open(
+                    request,
+                    notices.restriction(address.node()),
+                    quarantine.suspect(request),
+                    configOffset,
+                    time.nanos()))
         .map(Exchange.class::cast);
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -39,6 +39,7 @@
   private final TargetSide targetSide;
   private final ExchangeLedger ledger;
   private final PeerQueryHandler queries;
+  private final SuspicionExchange suspicions;
   private final NodeIdentity identity;
   private final Executor executor;
   private final NodeMetrics metrics;
@@ -54,6 +55,7 @@
    * @param targetSide runs requests
    * @param ledger records which requests were handed over
    * @param queries answers queries
+   * @param suspicions takes over the suspicions that requests carry
    * @param identity this node
    * @param executor runs each request on a virtual thread
    * @param metrics counts control bytes and late frames
@@ -66,6 +68,7 @@
       TargetSide targetSide,
       ExchangeLedger ledger,
       PeerQueryHandler queries,
+      SuspicionExchange suspicions,
       NodeIdentity identity,
       Executor executor,
       NodeMetrics metrics,
@@ -73,6 +76,7 @@
     this.targetSide = targetSide;
     this.ledger = ledger;
     this.queries = queries;
+    this.suspicions = suspicions;
     this.identity = identity;
     this.executor = executor;
     this.metrics = metrics;
@@ -138,6 +142,9 @@
         return;
       }
       Frames.rememberedNotice(open).ifPresent(targetSide::restoreNotice);
+      if (open.hasSuspicion()) {
+        suspicions.receive(open.getSuspicion(), id.get().entry());
+      }
       CallRequest request = Frames.toRequest(open, time.nanos());
       Optional<ResultCode> refusal = checkIncarnation(open);
       HandOver handOver = ledger.register(id.get(), open.getStream());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
@@ -7,6 +7,7 @@
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.target.CrashLedger;
 
 /** Registers metrics of a node's state. Stateless and safe for use by several threads. */
 public final class NodeGauges {
@@ -19,6 +20,7 @@
    * @param metrics receives the metrics
    * @param targetSide provides the load and the limit of the target
    * @param membership provides the members
+   * @param crashLedger provides the number of quarantined requests
    * @param sourceAvailable whether the last read of the configuration from its source succeeded
    * @param configOffset offset of the configuration in force, -1 before the first
    * @param log provides the number of suppressed log lines
@@ -27,6 +29,7 @@
       NodeMetrics metrics,
       TargetSide targetSide,
       Membership membership,
+      CrashLedger crashLedger,
       BooleanSupplier sourceAvailable,
       LongSupplier configOffset,
       EventLog log) {
@@ -50,6 +53,10 @@
         "amaranthmoor.members.reachable",
         "Members believed alive",
         () -> membership.members().stream().filter(Member::reachable).count());
+    metrics.registerGauge(
+        "amaranthmoor.quarantined.requests",
+        "Requests that are handed over to no target, because targets crashed when they ran them",
+        crashLedger::quarantinedCount);
     metrics.registerGauge(
         "amaranthmoor.log.available",
         "1 if the source of the configuration answers",
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
@@ -0,0 +1,170 @@
+package org.amaranthmoor.daemon.target;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Collectors;
+import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.exchange.RequestQuarantine;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.target.SuspectRequest;
+import org.amaranthmoor.target.Suspicion;
+import org.amaranthmoor.target.TargetRun;
+
+/**
+ * Detects that the target's process has crashed, and records the requests that were in progress.
+ *
+ * <p>A connection may also break while the target runs on, so a broken exchange counts as a crash
+ * only if the target's address then refuses connections. The end of a run that is leaving is not a
+ * crash. Invariant: each request in progress is recorded once, before the first of them gets its
+ * outcome. Safe for use by several threads.
+ */
+final class CrashDetector {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Longest time that the check for a listening process may take, in nanoseconds. */
+  private static final long CHECK_TIMEOUT_NANOS = 250_000_000L;
+
+  /** A request in progress at the target. Compared by identity, as a request may be repeated. */
+  static final class HandedOver {
+
+    private final CallRequest request;
+    private final LocalTarget.Destination destination;
+    private final Suspicion suspicion;
+    private final long startNanos;
+
+    private HandedOver(
+        CallRequest request,
+        LocalTarget.Destination destination,
+        Suspicion suspicion,
+        long startNanos) {
+      this.request = request;
+      this.destination = destination;
+      this.suspicion = suspicion;
+      this.startNanos = startNanos;
+    }
+
+    LocalTarget.Destination destination() {
+      return destination;
+    }
+
+    long startNanos() {
+      return startNanos;
+    }
+  }
+
+  private final LocalTarget localTarget;
+  private final TargetConnectionPool connections;
+  private final RequestQuarantine quarantine;
+  private final CrashListener listener;
+  private final TimeSource time;
+  private final EventLog log;
+  private final Set<HandedOver> inProgress = ConcurrentHashMap.newKeySet();
+  private final Lock checkLock = new ReentrantLock();
+
+  CrashDetector(
+      LocalTarget localTarget,
+      TargetConnectionPool connections,
+      RequestQuarantine quarantine,
+      CrashListener listener,
+      TimeSource time,
+      EventLog log) {
+    this.localTarget = localTarget;
+    this.connections = connections;
+    this.quarantine = quarantine;
+    this.listener = listener;
+    this.time = time;
+    this.log = log;
+  }
+
+  /** Records that a request is about to be written to the target. */
+  HandedOver onHandOver(CallRequest request, LocalTarget.Destination destination, long startNanos) {
+    HandedOver handedOver =
+        new HandedOver(request, destination, quarantine.suspicion(request), startNanos);
+    inProgress.add(handedOver);
+    return handedOver;
+  }
+
+  /** Records the end of the exchange of a request. */
+  void onEnd(HandedOver request, TargetExchange.End end) {
+    if (end.kind() == TargetExchange.Kind.BROKEN) {
+      checkForCrash(request);
+    }
+    inProgress.remove(request);
+    if (end.isSuccess() && quarantine.onAnswered(request.request)) {
+      log.warn(
+          "quarantine-lifted",
+          () -> "request=" + quarantine.fingerprint(request.request) + " cause=answered");
+      listener.onQuarantineLifted();
+    }
+  }
+
+  private void checkForCrash(HandedOver broken) {
+    checkLock.lock();
+    try {
+      // Not contained if another broken exchange has found the crash.
+      if (inProgress.contains(broken)
+          && TargetConnection.isRefused(broken.destination.address(), CHECK_TIMEOUT_NANOS)) {
+        onTargetEnded(broken.destination);
+      }
+    } finally {
+      checkLock.unlock();
+    }
+  }
+
+  private void onTargetEnded(LocalTarget.Destination destination) {
+    List<HandedOver> ended =
+        inProgress.stream()
+            .filter(request -> request.destination.equals(destination))
+            .toList()
+            .stream()
+            .filter(inProgress::remove)
+            .toList();
+    // A request that is written to a connection of the ended process would count as handed over.
+    localTarget.onConnectionRefused(time.nanos());
+    connections.clear();
+    boolean leaving = destination.run().map(localTarget::isLeaving).orElse(false);
+    logEnd(destination, leaving, ended);
+    if (!leaving) {
+      List<SuspectRequest> suspects =
+          ended.stream()
+              .map(request -> quarantine.onCrash(request.request, request.suspicion))
+              .toList();
+      listener.onCrash(suspects);
+    }
+  }
+
+  private void logEnd(
+      LocalTarget.Destination destination, boolean leaving, List<HandedOver> ended) {
+    long now = time.nanos();
+    log.warn(
+        "target-ended",
+        () ->
+            "run="
+                + destination.run().map(TargetRun::id).orElse("")
+                + " leaving="
+                + leaving
+                + " in-progress="
+                + ended.stream()
+                    .map(request -> describe(request, now))
+                    .collect(Collectors.joining(",")));
+  }
+
+  private String describe(HandedOver handedOver, long nowNanos) {
+    CallRequest request = handedOver.request;
+    return request.id()
+        + ":"
+        + quarantine.fingerprint(request)
+        + ":attempt-"
+        + request.attempt()
+        + ":crashes-before-"
+        + handedOver.suspicion.crashes()
+        + ":"
+        + (nowNanos - handedOver.startNanos) / NANOS_PER_MILLI
+        + "ms";
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnectionPool.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnectionPool.java
@@ -74,9 +74,17 @@
     idle.addFirst(connection);
   }
 
+  /** Closes all idle connections, as after the end of the target's process. */
+  void clear() {
+    for (TargetConnection connection = idle.pollFirst();
+        connection != null;
+        connection = idle.pollFirst()) {
+      connection.abort();
+    }
+  }
+
   @Override
   public void close() {
-    idle.forEach(TargetConnection::abort);
-    idle.clear();
+    clear();
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -42,6 +42,7 @@
 
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
+  private static final int MIN_SERVER_ERROR_STATUS = 500;
   private static final long BODY_READ_TIMEOUT_NANOS = 30_000_000_000L;
 
   /** Maximum number of interim responses, with a status below 200, that are skipped. */
@@ -71,12 +72,18 @@
    *
    * @param kind how it ended
    * @param slowdown the factor by which the target is slower than usual, if the response states it
+   * @param status the status of the response, or 0 if there is none
    */
-  record End(Kind kind, OptionalDouble slowdown) {
+  record End(Kind kind, OptionalDouble slowdown, int status) {
     /** {@return whether the duration of the exchange is the service time of the target} */
     boolean measuresServiceTime() {
       return kind == Kind.ANSWERED;
     }
+
+    /** {@return whether the target has answered, and not with a failure of its own} */
+    boolean isSuccess() {
+      return kind == Kind.ANSWERED && status < MIN_SERVER_ERROR_STATUS;
+    }
   }
 
   private final InboundCall call;
@@ -88,6 +95,7 @@
   private final Consumer<TargetNotice> onNotice;
   private final Consumer<End> onDone;
   private OptionalDouble slowdown = OptionalDouble.empty();
+  private int status;
   private boolean skippedResponse;
   private boolean done;
 
@@ -146,7 +154,7 @@
     } else {
       connection.abort();
     }
-    onDone.accept(new End(kind, slowdown));
+    onDone.accept(new End(kind, slowdown, status));
   }
 
   private void send(ClassicHttpRequest request) throws IOException, HttpException {
@@ -286,6 +294,7 @@
 
   private Outcome<CallResponse> readResponse(
       ClassicHttpRequest request, ClassicHttpResponse response) throws IOException {
+    status = response.getCode();
     boolean keepAlive = keepsAlive(request, response);
     HttpEntity entity = response.getEntity();
     if (entity == null) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -9,18 +9,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.concurrent.locks.Lock;
-import java.util.concurrent.locks.ReentrantLock;
-import java.util.stream.Collectors;
 import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.HeaderField;
-import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
+import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
-import org.amaranthmoor.daemon.target.HandedOverRequests.HandedOver;
 import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.LoadReport;
@@ -65,12 +61,11 @@
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
-  private final RequestFingerprinter fingerprinter;
+  private final RequestQuarantine quarantine;
+  private final CrashDetector crashDetector;
   private final AtomicInteger inProgress = new AtomicInteger();
   // The attempt number of each request that is in progress at the target.
   private final Map<CallId, Integer> runningAttempts = new ConcurrentHashMap<>();
-  private final HandedOverRequests handedOver = new HandedOverRequests();
-  private final Lock crashCheck = new ReentrantLock();
 
   /**
    * Creates a target side.
@@ -81,6 +76,8 @@
    * @param localTarget the target
    * @param dialect maps calls to the headers of the target
    * @param connections connections to the target
+   * @param quarantine refuses requests that must reach no target
+   * @param crashListener is told which requests were in progress when the target crashed
    * @param metrics counts refusals and waiting times
    * @param time the clock
    * @param log receives refusals and exchanges
@@ -92,6 +89,8 @@
       LocalTarget localTarget,
       TargetDialect dialect,
       TargetConnectionPool connections,
+      RequestQuarantine quarantine,
+      CrashListener crashListener,
       NodeMetrics metrics,
       TimeSource time,
       EventLog log) {
@@ -104,7 +103,9 @@
     this.metrics = metrics;
     this.time = time;
     this.log = log;
-    this.fingerprinter = new RequestFingerprinter(dialect.callerHeader());
+    this.quarantine = quarantine;
+    this.crashDetector =
+        new CrashDetector(localTarget, connections, quarantine, crashListener, time, log);
   }
 
   /**
@@ -204,6 +205,10 @@
     if (refusal.isPresent()) {
       return refuse(request, refusal.get(), 0);
     }
+    Optional<Outcome.NotRun<CallResponse>> quarantined = quarantine.refusal(request);
+    if (quarantined.isPresent()) {
+      return refuse(request, quarantined.get().code(), quarantined.get().retryAfterMillis());
+    }
     SlotWaiter waiter = new SlotWaiter(request);
     Decision decision = admission.offer(waiter, now);
     if (decision instanceof Decision.Queued) {
@@ -271,8 +276,8 @@
     long startNanos = time.nanos();
     admission.onHandOver(waiter, startNanos);
     runningAttempts.put(request.id(), request.attempt());
-    HandedOver handedOverRequest = new HandedOver(request, destination.get(), startNanos);
-    handedOver.add(handedOverRequest);
+    CrashDetector.HandedOver handedOver =
+        crashDetector.onHandOver(request, destination.get(), startNanos);
     call.onCancel(connection::abort);
     TargetExchange exchange =
         new TargetExchange(
@@ -283,7 +288,7 @@
             connections,
             time,
             notice -> onNotice(destination.get(), notice, startNanos),
-            end -> finish(waiter, handedOverRequest, end));
+            end -> finish(waiter, handedOver, end));
     return exchange.run();
   }
 
@@ -322,11 +327,8 @@
     return new Outcome.NotRun<>(code, 0, detail);
   }
 
-  private void finish(SlotWaiter waiter, HandedOver request, TargetExchange.End end) {
-    if (end.kind() == TargetExchange.Kind.BROKEN) {
-      checkForCrash(request);
-    }
-    handedOver.remove(request);
+  private void finish(SlotWaiter waiter, CrashDetector.HandedOver request, TargetExchange.End end) {
+    crashDetector.onEnd(request, end);
     long startNanos = request.startNanos();
     long now = time.nanos();
     runningAttempts.remove(waiter.request().id());
@@ -360,49 +362,6 @@
     }
   }
 
-  // A connection may also break while the target runs on. The first broken exchange that finds no
-  // process at the target's address records all requests that were in progress there.
-  private void checkForCrash(HandedOver broken) {
-    crashCheck.lock();
-    try {
-      LocalTarget.Destination destination = broken.destination();
-      if (handedOver.contains(broken)
-          && TargetConnection.isRefused(destination.address(), CONNECT_TIMEOUT_NANOS)) {
-        onTargetEnded(destination, handedOver.removeAll(destination));
-      }
-    } finally {
-      crashCheck.unlock();
-    }
-  }
-
-  private void onTargetEnded(LocalTarget.Destination destination, List<HandedOver> inProgress) {
-    long now = time.nanos();
-    boolean leaving = destination.run().map(localTarget::isLeaving).orElse(false);
-    log.warn(
-        "target-ended",
-        () ->
-            "run="
-                + destination.run().map(TargetRun::id).orElse("")
-                + " leaving="
-                + leaving
-                + " in-progress="
-                + inProgress.stream()
-                    .map(request -> describe(request, now))
-                    .collect(Collectors.joining(",")));
-  }
-
-  private String describe(HandedOver handedOverRequest, long nowNanos) {
-    CallRequest request = handedOverRequest.request();
-    return request.id()
-        + ":"
-        + fingerprinter.fingerprint(request)
-        + ":attempt-"
-        + request.attempt()
-        + ":"
-        + (nowNanos - handedOverRequest.startNanos()) / NANOS_PER_MILLI
-        + "ms";
-  }
-
   // Makes the last checks and commits the request; only the hand-over follows.
   private Optional<ResultCode> checkAndCommit(InboundCall call) {
     CallRequest request = call.request();
@@ -416,6 +375,10 @@
     if (!exclusive) {
       return Optional.of(ResultCode.NOT_HOME);
     }
+    // Targets may have crashed while the request waited.
+    if (quarantine.refusal(request).isPresent()) {
+      return Optional.of(ResultCode.REQUEST_QUARANTINED);
+    }
     if (!call.handOver().commit()) {
       return Optional.of(call.cancelled() ? ResultCode.CANCELLED : ResultCode.FENCED);
     }
