Attribute a refusal to a request only by its id, or on a new connection

What callers would see: a faulty server that writes an earlier refusal once more on a kept connection; the next request, which the server runs, is answered 503, not run (REFUSED), or is sent to a second server (TWICE).

Cause: a refusal without an id counted as that of the request that waited. A refused health check has no id, and its connection was kept, too. The same for an answer without an id on a kept connection (MIXED). The class: bytes on a kept connection are taken for the newest request by their position alone.

A connection is not reused after a refusal that names no request, nor after a refused health check. The native dialect, whose refusals name none, opens a new connection after each.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
@@ -34,11 +34,14 @@
   // Targets whose contract includes this header send it when they refuse a request without running
   // it.
   @Override
-  public Classification classify(CallRequest request, HttpResponse response) {
+  public Classification classify(
+      CallRequest request, HttpResponse response, boolean keptConnection) {
     Header mark = response.getFirstHeader(CallHeaders.TARGET_REFUSED);
     boolean refused =
         response.getCode() == UNAVAILABLE && mark != null && mark.getValue().equals("not-run");
-    return refused ? new Classification.NotRun(ResultCode.TARGET_SHED) : new Classification.Valid();
+    return refused
+        ? new Classification.NotRun(ResultCode.TARGET_SHED, false)
+        : new Classification.Valid();
   }
 
   @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -39,6 +39,7 @@
   private final Endpoint address;
   private Optional<SessionInputBuffer> buffer = Optional.empty();
   private long idleSinceNanos;
+  private boolean kept;
   private long advertisedIdleNanos = Long.MAX_VALUE;
 
   private TargetConnection(Socket socket, Endpoint address) {
@@ -108,6 +109,12 @@
 
   void setIdleSinceNanos(long nanos) {
     idleSinceNanos = nanos;
+    kept = true;
+  }
+
+  /** {@return whether the connection has carried an earlier exchange} */
+  boolean kept() {
+    return kept;
   }
 
   long idleSinceNanos() {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
@@ -27,8 +27,11 @@
      * The target states that it has not run the request.
      *
      * @param code the reason
+     * @param identified whether the response names the request; a connection with a refusal that
+     *     names none is not reused, as a copy of it could be taken for a refusal of the next
+     *     request
      */
-    record NotRun(ResultCode code) implements Classification {}
+    record NotRun(ResultCode code, boolean identified) implements Classification {}
 
     /** The response belongs to another request; the expected one may follow. */
     record Mismatched() implements Classification {}
@@ -54,12 +57,15 @@
    *
    * @param request the call
    * @param response the head of the response
+   * @param keptConnection whether the connection has carried an earlier exchange, of which the
+   *     target may repeat the response
    * @return what the response says about the request
    */
-  Classification classify(CallRequest request, HttpResponse response);
+  Classification classify(CallRequest request, HttpResponse response, boolean keptConnection);
 
   /**
-   * Returns whether a response belongs to a health check, and not to an earlier request.
+   * Returns whether a response belongs to a health check that the target has run, and neither to an
+   * earlier request nor to a health check that the target refused.
    *
    * @param response the head of the response
    * @return whether it belongs to a health check
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -222,14 +222,14 @@
     ClassicHttpResponse current = skipMismatched(request, response);
     connection.readKeepAlive(current);
     slowdown = dialect.slowdown(current);
-    return switch (dialect.classify(call.request(), current)) {
+    return switch (classify(current)) {
       case TargetDialect.Classification.Valid valid -> {
         onNotice.accept(dialect.notice(current));
         yield readResponse(request, current);
       }
       case TargetDialect.Classification.NotRun notRun -> {
         applyRefusalNotice(current, notRun.code());
-        yield toNotRun(request, current, notRun.code());
+        yield toNotRun(request, current, notRun);
       }
       case TargetDialect.Classification.Unusable unusable ->
           failed(
@@ -268,22 +268,28 @@
   }
 
   private boolean isMismatched(ClassicHttpResponse response) {
-    return dialect.classify(call.request(), response)
-        instanceof TargetDialect.Classification.Mismatched;
+    return classify(response) instanceof TargetDialect.Classification.Mismatched;
+  }
+
+  private TargetDialect.Classification classify(ClassicHttpResponse response) {
+    return dialect.classify(call.request(), response, connection.kept());
   }
 
   private Outcome<CallResponse> toNotRun(
-      ClassicHttpRequest request, ClassicHttpResponse response, ResultCode code)
+      ClassicHttpRequest request,
+      ClassicHttpResponse response,
+      TargetDialect.Classification.NotRun notRun)
       throws IOException {
     boolean whole = true;
     if (response.getEntity() != null) {
       whole = discardBody(response.getEntity());
     }
-    boolean replaced = code == ResultCode.TARGET_REPLACED;
+    boolean replaced = notRun.code() == ResultCode.TARGET_REPLACED;
     finish(
-        whole && !replaced && keepsAlive(request, response),
+        whole && notRun.identified() && !replaced && keepsAlive(request, response),
         replaced ? Kind.REPLACED : Kind.REFUSED);
-    return new Outcome.NotRun<>(code, 0, "the target refused the request without running it");
+    return new Outcome.NotRun<>(
+        notRun.code(), 0, "the target refused the request without running it");
   }
 
   /** {@return whether the connection may carry another request after the response} */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -156,10 +156,12 @@
       ClassicHttpResponse response = connection.receiveResponseHeader();
       connection.receiveResponseEntity(response);
       connection.readKeepAlive(response);
-      reusable = discardBody(response.getEntity()) && TargetExchange.keepsAlive(request, response);
-      return dialect.isHealthCheckResponse(response)
-          ? Optional.of(dialect.healthReport(response))
-          : Optional.empty();
+      boolean valid = dialect.isHealthCheckResponse(response);
+      reusable =
+          discardBody(response.getEntity())
+              && valid
+              && TargetExchange.keepsAlive(request, response);
+      return valid ? Optional.of(dialect.healthReport(response)) : Optional.empty();
     } finally {
       if (reusable) {
         connections.release(connection);
