Treat a message whose head or trailers are cut off as incomplete

Cause: HttpCore takes the end of the connection for the empty line that ends a head, and for the end of the trailers of a chunked body. The class: the end of input is taken for the end of a message.

Change: all HTTP connections, to targets, callers and the source, read lines through a buffer that reports the end of the connection within a message as a failure. TargetConnection gets the buffer from the parser, so bytes after a response without a body are seen too before a connection is reused.

--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -0,0 +1,41 @@
+package org.amaranthmoor.daemon.http;
+
+import java.io.InputStream;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+/**
+ * A connection to an HTTP server, on which a response that is cut off never appears complete.
+ *
+ * <p>Used by one thread at a time, except for closing it.
+ */
+public class ClientConnection extends DefaultBHttpClientConnection {
+
+  private final CompleteHeadParser<ClassicHttpResponse> parser;
+
+  /** Creates a connection that is not bound to a socket yet. */
+  public ClientConnection() {
+    this(
+        new CompleteHeadParser<>(
+            new DefaultHttpResponseParserFactory(Http1Config.DEFAULT).create()));
+  }
+
+  private ClientConnection(CompleteHeadParser<ClassicHttpResponse> parser) {
+    super(Http1Config.DEFAULT, null, null, null, null, null, config -> parser);
+    this.parser = parser;
+  }
+
+  /** {@return whether bytes after the last response that was read are buffered} */
+  protected boolean hasBufferedBytes() {
+    return parser.hasBufferedBytes();
+  }
+
+  @Override
+  protected InputStream createContentInputStream(
+      long length, SessionInputBuffer buffer, InputStream in) {
+    return super.createContentInputStream(length, new CompleteLineBuffer(buffer, false), in);
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
@@ -12,8 +12,6 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -133,7 +131,7 @@
 
   private Reply execute(ClassicHttpRequest request) throws IOException {
     request.setHeader("Host", endpoint.toString());
-    DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+    ClientConnection connection = new ClientConnection();
     try (Socket socket = connect()) {
       connection.bind(socket);
       connection.setSocketTimeout(Timeout.ofMilliseconds(timeoutMillis));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -158,7 +158,7 @@
   }
 
   private void serve(Socket socket) {
-    DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", CONFIG);
+    DefaultBHttpServerConnection connection = new ServerConnection(CONFIG);
     connections.add(connection);
     try {
       socket.setTcpNoDelay(true);
--- /dev/null
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -0,0 +1,34 @@
+package org.amaranthmoor.daemon.http;
+
+import java.io.InputStream;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+/**
+ * A connection from an HTTP client, on which a request that is cut off never appears complete.
+ *
+ * <p>Used by one thread at a time, except for closing it.
+ */
+final class ServerConnection extends DefaultBHttpServerConnection {
+
+  ServerConnection(Http1Config config) {
+    super(
+        "http",
+        config,
+        null,
+        null,
+        null,
+        null,
+        parserConfig ->
+            new CompleteHeadParser<>(new DefaultHttpRequestParserFactory(parserConfig).create()),
+        null);
+  }
+
+  @Override
+  protected InputStream createContentInputStream(
+      long length, SessionInputBuffer buffer, InputStream in) {
+    return super.createContentInputStream(length, new CompleteLineBuffer(buffer, false), in);
+  }
+}
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -1,18 +1,14 @@
 package org.amaranthmoor.daemon.target;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.Socket;
 import java.util.Iterator;
-import java.util.Optional;
 import java.util.regex.Pattern;
+import org.amaranthmoor.daemon.http.ClientConnection;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.apache.hc.core5.http.HeaderElement;
 import org.apache.hc.core5.http.HttpMessage;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
-import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.http.message.MessageSupport;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
@@ -22,7 +18,7 @@
  *
  * <p>Used by one thread at a time; {@link #abort} may be called by any thread.
  */
-final class TargetConnection extends DefaultBHttpClientConnection {
+final class TargetConnection extends ClientConnection {
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
@@ -37,13 +33,11 @@
 
   private final Socket socket;
   private final Endpoint address;
-  private Optional<SessionInputBuffer> buffer = Optional.empty();
   private long idleSinceNanos;
   private boolean kept;
   private long advertisedIdleNanos = Long.MAX_VALUE;
 
   private TargetConnection(Socket socket, Endpoint address) {
-    super(Http1Config.DEFAULT);
     this.socket = socket;
     this.address = address;
   }
@@ -82,18 +76,10 @@
     }
   }
 
-  @Override
-  protected InputStream createContentInputStream(
-      long length, SessionInputBuffer inBuffer, InputStream inputStream) {
-    buffer = Optional.of(inBuffer);
-    return super.createContentInputStream(length, inBuffer, inputStream);
-  }
-
   /** {@return whether the connection is open and has received no bytes outside of a response} */
   boolean isReusable() {
     try {
-      boolean buffered = buffer.isPresent() && buffer.get().length() > 0;
-      return isOpen() && !buffered && socket.getInputStream().available() == 0;
+      return isOpen() && !hasBufferedBytes() && socket.getInputStream().available() == 0;
     } catch (IOException e) {
       return false;
     }
