Give calls that arrive during a stop a response before its end

What callers would see: in a planned stop, calls that were taken late and passed on to a target were cut off without a response at the end of the grace period, also such as must not be repeated (LOST).

Cause: a stopping node passed on the caller's whole deadline although it ends earlier, and the native node took calls until its drain limit, so callers that went on kept it from ending and the last ones were cut. The class: a request is accepted for longer than whoever accepts it will live.

Change: once a stop has begun, no call has a deadline after its end, less 100 ms for the response; this holds for calls in progress, too. The native node closes connections after responses, and refuses calls once others have had notice of its leave, as the node of the mesh does.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -91,6 +91,9 @@
   private static final long DRAIN_NOTICE_MILLIS = 1_000;
   private static final long IDLE_POLL_MILLIS = 20;
 
+  /** Time before the drain limit by which all calls have their responses, in milliseconds. */
+  private static final long ANSWER_RESERVE_MILLIS = 100;
+
   private final NodeSettings settings;
   private final TimeSource time;
   private final EventLog log;
@@ -109,6 +112,7 @@
   private final TargetSide targetSide;
   private final RoutingSnapshots views;
   private final PeerLinks links;
+  private final EntrySide entrySide;
   private final CallerHandler callerHandler;
   private final Announcer announcer;
   private final Checkpointer checkpointer;
@@ -168,7 +172,7 @@
     // Scheduling delays are not measured here, so the shedder admits every call.
     LoadShedder shedder = new LoadShedder(time.nanos());
     TargetConnector access = new TargetConnector(identity, targetSide, links, executor);
-    EntrySide entrySide =
+    this.entrySide =
         new EntrySide(
             settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
     this.callerHandler =
@@ -450,7 +454,7 @@
 
   /**
    * Stops as planned: the target side refuses new requests at once, the node announces its leave,
-   * lets requests in progress end, and closes.
+   * serves callers until they have had notice of it, lets requests in progress end, and closes.
    *
    * <p>Blocks until all is closed, at most a little longer than the drain limit.
    *
@@ -461,30 +465,46 @@
     log.info("drain-started", () -> "in-progress=" + inProgress());
     membership.leave();
     targetSide.drain();
+    callerHandler.closeConnectionsAfterResponse();
     tasks.run(announcer::leave);
     long deadlineNanos = time.nanos() + TimeUnit.MILLISECONDS.toNanos(settings.drainLimitMillis());
     long noticeEndNanos = time.nanos() + TimeUnit.MILLISECONDS.toNanos(DRAIN_NOTICE_MILLIS);
-    boolean finished = awaitIdle(noticeEndNanos, deadlineNanos);
+    entrySide.limitDeadlines(deadlineNanos - TimeUnit.MILLISECONDS.toNanos(ANSWER_RESERVE_MILLIS));
+    sleepUntil(noticeEndNanos);
+    callerHandler.refuseNewCalls();
+    boolean finished = awaitIdle(deadlineNanos);
     log.info("drain-ended", () -> "finished=" + finished + " in-progress=" + inProgress());
     halt();
     return finished;
   }
 
-  // Waits at least until the other nodes have had notice of the stop; until then, calls that enter
-  // here are still routed to other nodes.
-  private boolean awaitIdle(long noticeEndNanos, long deadlineNanos) {
-    while (inProgress() > 0 || time.nanos() < noticeEndNanos) {
-      if (time.nanos() >= deadlineNanos && time.nanos() >= noticeEndNanos) {
-        return inProgress() == 0;
+  private void sleepUntil(long nanos) {
+    for (long left = nanos - time.nanos(); left > 0; left = nanos - time.nanos()) {
+      if (!sleep(left)) {
+        return;
       }
-      try {
-        Thread.sleep(IDLE_POLL_MILLIS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
+    }
+  }
+
+  // Returns whether no request is in progress any more.
+  private boolean awaitIdle(long deadlineNanos) {
+    while (inProgress() > 0 && time.nanos() < deadlineNanos) {
+      if (!sleep(TimeUnit.MILLISECONDS.toNanos(IDLE_POLL_MILLIS))) {
         return false;
       }
     }
-    return true;
+    return inProgress() == 0;
+  }
+
+  // Returns false if the thread was interrupted.
+  private static boolean sleep(long nanos) {
+    try {
+      TimeUnit.NANOSECONDS.sleep(nanos);
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
   }
 
   private int inProgress() {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.amaranthmoor.balance.AttemptPlan;
@@ -65,6 +66,8 @@
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
+  // Set once a planned stop has begun.
+  private volatile OptionalLong latestDeadlineNanos = OptionalLong.empty();
 
   /**
    * Creates an entry side.
@@ -117,14 +120,25 @@
     }
   }
 
+  /**
+   * Ends all calls by a time, those in progress and those that arrive from now on, so that a
+   * planned stop cuts none of them off without a response.
+   *
+   * @param latestNanos the latest deadline, in monotonic nanoseconds
+   */
+  public void limitDeadlines(long latestNanos) {
+    latestDeadlineNanos = OptionalLong.of(latestNanos);
+  }
+
   /**
    * Serves a call.
    *
-   * @param request the call
+   * @param call the call
    * @param caller the caller's connection
    * @return the outcome; a streamed answer must be read to its end or closed
    */
-  public CallResult serve(CallRequest request, CallerConnection caller) {
+  public CallResult serve(CallRequest call, CallerConnection caller) {
+    CallRequest request = withLimitedDeadline(call);
     long startNanos = time.nanos();
     Optional<ServiceSnapshot> service =
         snapshots.current().flatMap(snapshot -> snapshot.service(request.service()));
@@ -172,6 +186,11 @@
     return result;
   }
 
+  private CallRequest withLimitedDeadline(CallRequest request) {
+    OptionalLong latest = latestDeadlineNanos;
+    return latest.isPresent() ? request.withDeadlineAtMost(latest.getAsLong()) : request;
+  }
+
   private Optional<Outcome.NotRun<CallResponse>> refusal(CallRequest request, long nowNanos) {
     return quarantine
         .refusal(request)
@@ -440,7 +459,7 @@
     private Outcome<CallResponse> awaitOutcome(Exchange exchange, CallerConnection caller)
         throws InterruptedException {
       while (true) {
-        long nanosLeft = request.deadlineNanos() - time.nanos();
+        long nanosLeft = withLimitedDeadline(request).deadlineNanos() - time.nanos();
         Optional<Outcome<CallResponse>> outcome =
             exchange.await(
                 Math.clamp(nanosLeft + OUTCOME_GRACE_NANOS, 0, CALLER_POLL_INTERVAL_NANOS));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallRequest.java
@@ -80,6 +80,36 @@
   /** Value of {@link #bodyLength()} for a body of unknown length. */
   public static final long UNKNOWN_LENGTH = -1;
 
+  /**
+   * Returns this request with a deadline that is not after a limit.
+   *
+   * @param latestDeadlineNanos the limit, in monotonic nanoseconds of this process
+   * @return the request
+   */
+  public CallRequest withDeadlineAtMost(long latestDeadlineNanos) {
+    return deadlineNanos - latestDeadlineNanos <= 0
+        ? this
+        : new CallRequest(
+            service,
+            method,
+            path,
+            headers,
+            latestDeadlineNanos,
+            attempt,
+            idempotent,
+            priority,
+            key,
+            bodyPrefix,
+            bodyComplete,
+            bodyLength,
+            id,
+            rule,
+            objectiveNanos,
+            parentAttempt,
+            maxAttempts,
+            maxWaitPercent);
+  }
+
   /**
    * Returns this request as another attempt.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -103,6 +103,9 @@
    */
   private static final long STOP_RESERVE_MILLIS = 600;
 
+  /** Time before the end of a stop by which all calls have their responses, in milliseconds. */
+  private static final long ANSWER_RESERVE_MILLIS = 100;
+
   /** Longest wait for the network threads to end, in milliseconds. */
   private static final long NETWORK_SHUTDOWN_TIMEOUT_MILLIS = 100;
 
@@ -148,6 +151,7 @@
   private final TargetRegistry registry;
   private final RoutingSnapshots views;
   private final PeerLinks links;
+  private final EntrySide entrySide;
   private final CallerHandler callerHandler;
   private final InstanceDirectory directory;
   private final ConfigFollower follower;
@@ -232,7 +236,7 @@
     TimedExecutor timed =
         new TimedExecutor(executor, delay -> shedder.onSchedulingDelay(delay, time.nanos()), time);
     TargetConnector access = new TargetConnector(identity, targetSide, links, timed);
-    EntrySide entrySide =
+    this.entrySide =
         new EntrySide(
             settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
     this.callerHandler =
@@ -751,9 +755,10 @@
     long begin = time.nanos();
     log.info("stop-started", () -> "in-progress=" + inProgress());
     callerHandler.closeConnectionsAfterResponse();
+    long end = begin + settings.gracePeriod().toNanos() - millis(STOP_RESERVE_MILLIS);
+    entrySide.limitDeadlines(end - millis(ANSWER_RESERVE_MILLIS));
     registry.announceDrain();
     gossip.send(membership.announcements());
-    long end = begin + settings.gracePeriod().toNanos() - millis(STOP_RESERVE_MILLIS);
     sleepUntil(begin + millis(CALLER_DRAIN_MILLIS), false);
     callerHandler.refuseNewCalls();
     registry.stop();
--- a/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/deployment/DeploymentTests.java
+++ b/amaranthmoor-testkit/src/test/java/org/amaranthmoor/testkit/deployment/DeploymentTests.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -352,6 +353,9 @@
   @Nested
   class PlannedStop {
 
+    /** Calls that a target ran and whose caller got no response. */
+    private final ConcurrentLinkedQueue<String> cutOff = new ConcurrentLinkedQueue<>();
+
     /** A request body that blocks halfway until the test resumes it. */
     private static final class BlockedUpload extends InputStream {
       private static final int FIRST_BYTES = 200_000;
@@ -432,6 +436,36 @@
       }
     }
 
+    /** Calls that arrive all the time keep a stop from ending, and its limit cuts off the last. */
+    @Test
+    void noCallThatATargetRunsIsCutOffThoughCallersGoOn() throws Exception {
+      setAllFaults(new Faults(20, false, false, false, false, 0, false));
+      CompletableFuture<Boolean> stopped =
+          CompletableFuture.supplyAsync(() -> deployment.stopNode(0));
+      try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+        for (int caller = 0; caller < 4; caller++) {
+          int number = caller;
+          callers.execute(() -> callUntilStopped(stopped, "caller-" + number));
+        }
+      }
+
+      assertTrue(stopped.join(), "requests were in progress at the end of the stop");
+      assertEquals(List.of(), List.copyOf(cutOff));
+    }
+
+    private void callUntilStopped(CompletableFuture<Boolean> stopped, String caller) {
+      for (int i = 0; !stopped.isDone(); i++) {
+        String id = caller + "-" + i;
+        try {
+          call(0, request("POST", "/lending/posts", id));
+        } catch (IOException e) {
+          if (executions(id) > 0) {
+            cutOff.add(id);
+          }
+        }
+      }
+    }
+
     @Test
     void aStoppingNodeGetsNoNewRequests() throws IOException {
       CompletableFuture<Boolean> stopped =
