End a quarantine after a minute, twice as long after each further crash

A request that was wrongly quarantined, and of which none was in progress anywhere to clear it, was refused for ten minutes. Now it is tried again after a minute; a further crash quarantines it at once, for twice as long.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashLedger.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashLedger.java
@@ -20,8 +20,10 @@
  * <p>Most requests that are in progress at a crash are not its cause. Invariants: a crash adds to
  * an earlier one only if the request was handed over after that one was known, so that targets that
  * crash together count as one; a request that a target has answered is cleared, whether it was
- * quarantined or not. Ledgers that have merged each other's contents agree. At most {@link
- * #MAX_REQUESTS} requests are kept, each for {@link #RETENTION_NANOS} after its last change.
+ * quarantined or not. A quarantine ends after a time that doubles with each further crash, so that
+ * a request that was wrongly suspected is tried again. Ledgers that have merged each other's
+ * contents agree. At most {@link #MAX_REQUESTS} requests are kept, each for {@link
+ * #RETENTION_NANOS} after its last change.
  *
  * <p>Safe for use by several threads. While nothing is suspected, lookups take no lock and compute
  * no fingerprint.
@@ -37,10 +39,25 @@
   /** Time for which a request is remembered after the last change, in nanoseconds. */
   static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
+  /** Length of the first quarantine of a request, in nanoseconds. */
+  static final long FIRST_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
+
+  /** Largest number of times that the length of a quarantine is doubled. */
+  private static final int MAX_DOUBLINGS = 3;
+
   private record Entry(Suspicion suspicion, long changedNanos, boolean wasQuarantined) {
-    boolean quarantined() {
+
+    boolean reachesQuarantine() {
       return suspicion.crashes() >= QUARANTINE_CRASHES;
     }
+
+    long quarantineLeftNanos(long nowNanos) {
+      if (!reachesQuarantine()) {
+        return 0;
+      }
+      int doublings = Math.min(MAX_DOUBLINGS, suspicion.crashes() - QUARANTINE_CRASHES);
+      return Math.max(0, changedNanos + (FIRST_QUARANTINE_NANOS << doublings) - nowNanos);
+    }
   }
 
   private static final Comparator<Map.Entry<RequestFingerprint, Entry>> MOST_CRASHES_FIRST =
@@ -111,9 +128,8 @@
   public OptionalLong quarantineLeftMillis(
       String path, Supplier<RequestFingerprint> fingerprint, long nowNanos) {
     return find(path, fingerprint, nowNanos)
-        .map(Map.Entry::getValue)
-        .filter(Entry::quarantined)
-        .map(entry -> entry.changedNanos() + RETENTION_NANOS - nowNanos)
+        .map(found -> found.getValue().quarantineLeftNanos(nowNanos))
+        .filter(leftNanos -> leftNanos > 0)
         .map(leftNanos -> OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(leftNanos)))
         .orElseGet(OptionalLong::empty);
   }
@@ -145,7 +161,7 @@
    * @param fingerprint computes the fingerprint of the request; called only if the path is that of
    *     a suspect
    * @param nowNanos the current time
-   * @return whether the request was quarantined
+   * @return whether the request was quarantined before
    */
   public boolean onAnswered(String path, Supplier<RequestFingerprint> fingerprint, long nowNanos) {
     if (!pathHashes.contains(path.hashCode())) {
@@ -158,7 +174,7 @@
         return false;
       }
       put(computed, entry.suspicion().cleared(), nowNanos);
-      return entry.quarantined();
+      return entry.reachesQuarantine();
     }
   }
 
@@ -186,7 +202,8 @@
 
   private void put(RequestFingerprint fingerprint, Suspicion suspicion, long changedNanos) {
     Entry before = entries.get(fingerprint);
-    boolean wasQuarantined = before != null && (before.wasQuarantined() || before.quarantined());
+    boolean wasQuarantined =
+        before != null && (before.wasQuarantined() || before.reachesQuarantine());
     entries.put(fingerprint, new Entry(suspicion, changedNanos, wasQuarantined));
     if (before != null) {
       hash ^= hashOf(fingerprint, before.suspicion());
@@ -271,7 +288,7 @@
   public synchronized List<SuspectRequest> quarantineHistory(int limit, long nowNanos) {
     removeExpired(nowNanos);
     return entries.entrySet().stream()
-        .filter(entry -> entry.getValue().quarantined() || entry.getValue().wasQuarantined())
+        .filter(entry -> entry.getValue().reachesQuarantine() || entry.getValue().wasQuarantined())
         .sorted(Comparator.comparingLong(entry -> nowNanos - entry.getValue().changedNanos()))
         .limit(limit)
         .map(entry -> toSuspect(entry.getKey(), entry.getValue(), nowNanos))
@@ -285,9 +302,15 @@
         fingerprint, entry.suspicion(), TimeUnit.NANOSECONDS.toMillis(ageNanos));
   }
 
-  /** {@return the number of quarantined requests} */
-  public synchronized int quarantinedCount() {
-    return (int) entries.values().stream().filter(Entry::quarantined).count();
+  /**
+   * Returns the number of quarantined requests.
+   *
+   * @param nowNanos the current time
+   * @return the number
+   */
+  public synchronized int quarantinedCount(long nowNanos) {
+    return (int)
+        entries.values().stream().filter(entry -> entry.quarantineLeftNanos(nowNanos) > 0).count();
   }
 
   /**
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/CrashLedgerTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/CrashLedgerTests.java
@@ -58,7 +58,7 @@
     crashInTurn(ledger, 3);
 
     assertTrue(quarantined(ledger));
-    assertEquals(1, ledger.quarantinedCount());
+    assertEquals(1, ledger.quarantinedCount(now));
   }
 
   @Test
@@ -132,11 +132,26 @@
   }
 
   @Test
-  void theQuarantineEndsAfterTheRetention() {
+  void aQuarantineEndsAndEachFurtherCrashDoublesIt() {
+    crashInTurn(ledger, 3);
+    long length = CrashLedger.FIRST_QUARANTINE_NANOS;
+    for (int i = 0; i < 3; i++) {
+      now += length - 2 * SECOND;
+      assertTrue(quarantined(ledger));
+      now += 2 * SECOND;
+      assertFalse(quarantined(ledger));
+
+      crashInTurn(ledger, 1);
+      length *= 2;
+    }
+  }
+
+  @Test
+  void nothingIsRememberedAfterTheRetention() {
     crashInTurn(ledger, 3);
     now += CrashLedger.RETENTION_NANOS;
 
-    assertFalse(quarantined(ledger));
+    assertEquals(List.of(), ledger.suspects(Integer.MAX_VALUE, now));
     assertEquals(0, ledger.hash(now));
   }
 
@@ -204,7 +219,9 @@
         exchangeAll();
       }
 
-      assertTrue(ledgers.stream().noneMatch(CrashLedgerTests.this::quarantined));
+      for (CrashLedger at : ledgers) {
+        assertEquals(List.of(), at.suspects(Integer.MAX_VALUE, now));
+      }
     }
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -204,6 +204,7 @@
         crashLedger,
         logFollower::available,
         () -> stateHolder.current().offset(),
+        time,
         log);
     this.peerServer =
         new PeerServer(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -300,6 +300,7 @@
         crashLedger,
         follower::available,
         configHolder::version,
+        time,
         log);
     this.callerListener = new HttpListener(callerSocket, callerHandler);
   }
@@ -348,7 +349,8 @@
               .anyMatch(suspect -> suspect.suspicion().crashes() >= CrashLedger.QUARANTINE_CRASHES);
       if (quarantined) {
         log.warn(
-            "quarantine", () -> "requests=" + crashLedger.quarantinedCount() + " source=crash");
+            "quarantine",
+            () -> "requests=" + crashLedger.quarantinedCount(time.nanos()) + " source=crash");
         directory.storeQuarantine();
       }
     }
@@ -491,7 +493,7 @@
                 + " whole-history="
                 + contents.historyKnown()
                 + " quarantined="
-                + crashLedger.quarantinedCount()
+                + crashLedger.quarantinedCount(time.nanos())
                 + " epoch="
                 + epochTracker.newest());
     gossip.send(membership.initialSyncRequests());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/SuspicionExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/SuspicionExchange.java
@@ -112,7 +112,7 @@
     if (received.isEmpty()) {
       return;
     }
-    int before = ledger.quarantinedCount();
+    int before = ledger.quarantinedCount(time.nanos());
     if (ledger.merge(received, time.nanos())) {
       refresh();
       logChange(before, sender);
@@ -120,7 +120,7 @@
   }
 
   private void logChange(int quarantinedBefore, String sender) {
-    int quarantined = ledger.quarantinedCount();
+    int quarantined = ledger.quarantinedCount(time.nanos());
     if (quarantined != quarantinedBefore) {
       log.warn("quarantine", () -> "requests=" + quarantined + " source=" + sender);
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
@@ -5,6 +5,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.target.CrashLedger;
@@ -23,6 +24,7 @@
    * @param crashLedger provides the number of quarantined requests
    * @param sourceAvailable whether the last read of the configuration from its source succeeded
    * @param configOffset offset of the configuration in force, -1 before the first
+   * @param time the clock
    * @param log provides the number of suppressed log lines
    */
   public static void add(
@@ -32,6 +34,7 @@
       CrashLedger crashLedger,
       BooleanSupplier sourceAvailable,
       LongSupplier configOffset,
+      TimeSource time,
       EventLog log) {
     metrics.registerGauge(
         "amaranthmoor.config.offset",
@@ -56,7 +59,7 @@
     metrics.registerGauge(
         "amaranthmoor.quarantined.requests",
         "Requests that are handed over to no target, because targets crashed when they ran them",
-        crashLedger::quarantinedCount);
+        () -> crashLedger.quarantinedCount(time.nanos()));
     metrics.registerGauge(
         "amaranthmoor.log.available",
         "1 if the source of the configuration answers",
