--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.settings.Endpoint;
@@ -94,6 +95,7 @@
   private volatile boolean closed;
   // Whether all leaves that earlier processes of this node acknowledged are known.
   private volatile boolean historyKnown;
+  private final AtomicBoolean quarantineWritePending = new AtomicBoolean();
   // Whether this process has stored the record.
   private volatile boolean recordStored;
 
@@ -255,16 +257,20 @@
    * Does not block; a failed write is retried.
    */
   void storeQuarantine() {
-    Thread.startVirtualThread(
-        () -> {
-          try {
-            // The first read adds the leaves of earlier processes to the record.
-            thread.join();
-            writeUntilStored();
-          } catch (InterruptedException e) {
-            log.warn("quarantine-not-kept", () -> "detail=interrupted");
-          }
-        });
+    if (quarantineWritePending.compareAndSet(false, true)) {
+      Thread.startVirtualThread(this::writeQuarantine);
+    }
+  }
+
+  private void writeQuarantine() {
+    try {
+      // The first read adds the leaves of earlier processes to the record.
+      thread.join();
+      quarantineWritePending.set(false);
+      writeUntilStored();
+    } catch (InterruptedException e) {
+      log.warn("quarantine-not-kept", () -> "detail=interrupted");
+    }
   }
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -328,7 +328,16 @@
   }
 
   private void finish(SlotWaiter waiter, CrashDetector.HandedOver request, TargetExchange.End end) {
-    crashDetector.onEnd(request, end);
+    try {
+      // Before the slot is released, as the next request must not go to a target that has ended.
+      crashDetector.onEnd(request, end);
+    } finally {
+      release(waiter, request, end);
+    }
+  }
+
+  private void release(
+      SlotWaiter waiter, CrashDetector.HandedOver request, TargetExchange.End end) {
     long startNanos = request.startNanos();
     long now = time.nanos();
     runningAttempts.remove(waiter.request().id());
