--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashLedger.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashLedger.java
@@ -246,6 +246,9 @@
   }
 
   private void removeExpired(long nowNanos) {
+    if (entries.isEmpty()) {
+      return;
+    }
     List<RequestFingerprint> expired =
         entries.entrySet().stream()
             .filter(entry -> isExpired(entry.getValue().changedNanos(), nowNanos))
