--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
@@ -138,9 +138,8 @@
     }
   }
 
-  // Whether the last check was accepted after the exchange broke, or so shortly before it began
-  // that
-  // the target is more likely to break off what it has just accepted.
+  // Whether the last check was accepted after the exchange broke, or just before it began: then the
+  // target more likely breaks off what it accepts.
   private boolean isCoveredByLastCheck(HandedOver broken, long brokenNanos) {
     if (acceptedNanos.isEmpty()) {
       return false;
