--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/RequestFingerprint.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/RequestFingerprint.java
@@ -7,11 +7,11 @@
 import java.util.HexFormat;
 
 /**
- * A hash that equal requests share: requests with the same method, path, caller and start of the
- * body, whatever their ids.
+ * A hash of the method, path, caller and start of the body of a request, which does not depend on
+ * its id.
  *
- * <p>The hash of the path is a part of it, so that most other requests are told apart without the
- * hash of their body. Immutable and safe for use by several threads.
+ * <p>It contains the hash of the path, so that requests with another path are excluded without
+ * hashing their body. Immutable and safe for use by several threads.
  *
  * @param high the hash of the path in the upper half, followed by a part of the hash of the rest
  * @param low a part of the hash of the rest
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -119,7 +119,7 @@
    * Finds a code that another build may have sent, which may be newer.
    *
    * @param number the number
-   * @return the code, or empty if this build does not know it
+   * @return the code, or empty if this build does not define it
    */
   public static Optional<ResultCode> find(int number) {
     for (ResultCode code : values()) {
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashLedger.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashLedger.java
@@ -20,9 +20,9 @@
  * <p>Most requests that are in progress at a crash are not its cause. Invariants: a crash adds to
  * an earlier one only if the request was handed over after that one was known, so that targets that
  * crash together count as one; a request that a target has answered is cleared, whether it was
- * quarantined or not. A quarantine ends after a time that doubles with each further crash, so that
- * a request that was wrongly suspected is tried again. Ledgers that have merged each other's
- * contents agree. At most {@link #MAX_REQUESTS} requests are kept, each for {@link
+ * quarantined or not. A quarantine ends after a time, which is longer after a further crash, so
+ * that a request that was wrongly suspected is handed over again. Ledgers that have merged each
+ * other's contents agree. At most {@link #MAX_REQUESTS} requests are kept, each for {@link
  * #RETENTION_NANOS} after its last change.
  *
  * <p>Safe for use by several threads. While nothing is suspected, lookups take no lock and compute
@@ -40,10 +40,10 @@
   static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
   /** Length of the first quarantine of a request, in nanoseconds. */
-  static final long FIRST_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
+  static final long FIRST_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(5);
 
   /** Largest number of times that the length of a quarantine is doubled. */
-  private static final int MAX_DOUBLINGS = 3;
+  private static final int MAX_DOUBLINGS = 1;
 
   private record Entry(Suspicion suspicion, long changedNanos, boolean wasQuarantined) {
 
@@ -179,9 +179,9 @@
   }
 
   /**
-   * Merges what another node knows; the later suspicion against a request applies.
+   * Merges the suspicions of another node; the later suspicion against a request applies.
    *
-   * @param suspects the requests that the other node knows
+   * @param suspects the requests that the other node suspects or has cleared
    * @param nowNanos the current time
    * @return whether this ledger has changed
    */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -338,7 +338,7 @@
     executor.execute(() -> tasks.run(() -> registry.onLeave(run)));
   }
 
-  // Tells other nodes of a crash, and stores a quarantine.
+  // Sends suspicions to the other nodes, and stores a quarantine.
   private final class CrashReporter implements CrashListener {
 
     @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -165,7 +165,7 @@
     return Frame.newBuilder().setRefused(refused).build();
   }
 
-  // A build that does not know a code must not fail to read it.
+  // Earlier builds close the link on a code that they do not define.
   private static ResultCode codeOfEveryBuild(ResultCode code) {
     return code == ResultCode.REQUEST_QUARANTINED ? ResultCode.NO_TARGET : code;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -93,7 +93,7 @@
    * @param executor runs settlements of requests whose link was lost
    * @param loadListener receives load reports
    * @param notices keeps the last notice of each target
-   * @param quarantine knows what is suspected of a request
+   * @param quarantine provides the suspicion that a request carries
    * @param metrics counts control bytes and late frames
    * @param time the clock
    * @param isInOtherZone whether a node is in another availability zone, so that its link is
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +13,7 @@
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.target.CrashCheckPolicy;
 import org.amaranthmoor.target.SuspectRequest;
 import org.amaranthmoor.target.Suspicion;
 import org.amaranthmoor.target.TargetRun;
@@ -22,13 +22,11 @@
  * Detects that the target's process has crashed, and records the requests that were in progress.
  *
  * <p>A connection may also break while the target runs on, so a broken exchange counts as a crash
- * only if the target's address then refuses connections. A check costs the target a connection and
- * the callers time, so exchanges that broke off together share one, and those that a target accepts
- * and breaks off at once wait for the next, {@link #CHECK_INTERVAL_NANOS} later. The end of a run
- * that is leaving is not a crash.
+ * only if the target's address then refuses connections; {@link CrashCheckPolicy} decides when to
+ * check. The end of a run that is leaving is not a crash.
  *
  * <p>Invariant: each request in progress at a crash is recorded once, and before the first of them
- * gets its outcome unless a check was accepted just before. Safe for use by several threads.
+ * gets its outcome unless its check is deferred. Safe for use by several threads.
  */
 final class CrashDetector {
 
@@ -37,8 +35,8 @@
   /** Longest time that the check for a listening process may take, in nanoseconds. */
   private static final long CHECK_TIMEOUT_NANOS = 250_000_000L;
 
-  /** Shortest time from a check that was accepted to the next one, in nanoseconds. */
-  private static final long CHECK_INTERVAL_NANOS = 100_000_000L;
+  /** Largest number of broken exchanges that wait for one deferred check. */
+  private static final int MAX_UNCHECKED = 64;
 
   /** A request in progress at the target. Compared by identity, as a request may be repeated. */
   static final class HandedOver {
@@ -76,9 +74,10 @@
   private final EventLog log;
   private final Set<HandedOver> inProgress = ConcurrentHashMap.newKeySet();
   private final Lock checkLock = new ReentrantLock();
-  // Guarded by the lock: requests that broke after the last check, and its time if it was accepted.
+  // The following are guarded by the lock.
+  private final CrashCheckPolicy policy = new CrashCheckPolicy();
+  // Requests whose exchanges wait for the deferred check.
   private final List<HandedOver> unchecked = new ArrayList<>();
-  private OptionalLong acceptedNanos = OptionalLong.empty();
 
   CrashDetector(
       LocalTarget localTarget,
@@ -125,34 +124,29 @@
         // Another broken exchange has found the crash.
         return;
       }
-      if (!isCoveredByLastCheck(broken, brokenNanos)) {
-        check(broken.destination);
-        return;
-      }
-      unchecked.add(broken);
-      if (unchecked.size() == 1) {
-        Thread.startVirtualThread(this::checkLater);
+      switch (policy.onBroken(broken.startNanos, brokenNanos)) {
+        case CHECK -> check(broken.destination);
+        case CHECK_LATER -> deferCheck(broken);
+        case OUTLIVED -> {}
       }
     } finally {
       checkLock.unlock();
     }
   }
 
-  // Whether the last check was accepted after the exchange broke, or just before it began: then the
-  // target more likely breaks off what it accepts.
-  private boolean isCoveredByLastCheck(HandedOver broken, long brokenNanos) {
-    if (acceptedNanos.isEmpty()) {
-      return false;
+  // Called with the lock held.
+  private void deferCheck(HandedOver broken) {
+    if (unchecked.isEmpty()) {
+      Thread.startVirtualThread(this::checkLater);
+    }
+    if (unchecked.size() < MAX_UNCHECKED) {
+      unchecked.add(broken);
     }
-    long accepted = acceptedNanos.getAsLong();
-    boolean brokeBefore = brokenNanos - accepted <= 0;
-    boolean beganAfter = broken.startNanos - accepted >= 0;
-    return brokeBefore || (beganAfter && brokenNanos - accepted < CHECK_INTERVAL_NANOS);
   }
 
   private void checkLater() {
     try {
-      TimeUnit.NANOSECONDS.sleep(CHECK_INTERVAL_NANOS);
+      TimeUnit.NANOSECONDS.sleep(CrashCheckPolicy.CHECK_INTERVAL_NANOS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return;
@@ -169,11 +163,11 @@
 
   // Called with the lock held.
   private void check(LocalTarget.Destination destination) {
-    if (TargetConnection.isRefused(destination.address(), CHECK_TIMEOUT_NANOS)) {
-      acceptedNanos = OptionalLong.empty();
+    long startNanos = time.nanos();
+    boolean refused = TargetConnection.isRefused(destination.address(), CHECK_TIMEOUT_NANOS);
+    policy.onCheck(startNanos, !refused);
+    if (refused) {
       onTargetEnded(destination);
-    } else {
-      acceptedNanos = OptionalLong.of(time.nanos());
     }
     unchecked.clear();
   }
