Check again for a crash after a check that the target accepted

Cause: a process that ends may close its port after its connections. The check that followed the first broken exchange was then accepted, and that exchange was forgotten, so the crash was never recorded if the deadly request was the only one there. Found while the change was read once more.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashCheckPolicy.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/CrashCheckPolicy.java
@@ -6,13 +6,14 @@
  * Decides when a broken exchange causes a check whether the target's process has crashed.
  *
  * <p>Covers three load patterns. In a crash, all exchanges in progress break together, and the
- * first check must come before any of their callers retries. If single connections are cut, the
- * target accepts the check, and the exchanges that broke before it are no evidence of a crash. If a
- * target accepts connections and breaks them off at once, each check would cost it one more
- * connection and its callers the time of the check, so these exchanges wait for the next check.
+ * first check must come before any of their callers retries. A process that ends may close its port
+ * after its connections, so exchanges that broke before an accepted check wait for another one. If
+ * a target accepts connections and breaks them off at once, each check would cost it one more
+ * connection and its callers the time of the check, so these exchanges wait, too.
  *
- * <p>Invariant: an exchange that broke after the last accepted check began is followed by another
- * check, at once or after {@link #CHECK_INTERVAL_NANOS}. Not safe for use by several threads.
+ * <p>Invariant: each broken exchange is followed by a check that begins later, unless a check at
+ * once finds the crash: the deferred one, after at most {@link #CHECK_INTERVAL_NANOS}. Not safe for
+ * use by several threads.
  */
 public final class CrashCheckPolicy {
 
@@ -27,12 +28,10 @@
 
   /** What follows a broken exchange. */
   public enum Decision {
-    /** Check now. */
+    /** Check now; if the target accepts, check again after the interval. */
     CHECK,
     /** Check together with other broken exchanges after the interval. */
-    CHECK_LATER,
-    /** The target was running after the exchange broke. */
-    OUTLIVED
+    CHECK_LATER
   }
 
   // Start of the last check, if the target accepted it.
@@ -56,7 +55,7 @@
     }
     long accepted = acceptedCheckNanos.getAsLong();
     if (brokenNanos - accepted <= 0) {
-      return Decision.OUTLIVED;
+      return Decision.CHECK_LATER;
     }
     if (brokenNanos - intervalStartNanos >= CHECK_INTERVAL_NANOS) {
       return Decision.CHECK;
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/CrashCheckPolicyTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/CrashCheckPolicyTests.java
@@ -2,7 +2,6 @@
 
 import static org.amaranthmoor.target.CrashCheckPolicy.Decision.CHECK;
 import static org.amaranthmoor.target.CrashCheckPolicy.Decision.CHECK_LATER;
-import static org.amaranthmoor.target.CrashCheckPolicy.Decision.OUTLIVED;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -33,10 +32,10 @@
   }
 
   @Test
-  void anExchangeThatBrokeBeforeAnAcceptedCheckIsNoEvidence() {
+  void anExchangeThatBrokeBeforeAnAcceptedCheckWaitsForTheNext() {
     accept(50);
 
-    assertEquals(OUTLIVED, onBroken(0, 50));
+    assertEquals(CHECK_LATER, onBroken(0, 50));
   }
 
   @Test
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
@@ -124,10 +124,11 @@
         // Another broken exchange has found the crash.
         return;
       }
-      switch (policy.onBroken(broken.startNanos, brokenNanos)) {
-        case CHECK -> check(broken.destination);
-        case CHECK_LATER -> deferCheck(broken);
-        case OUTLIVED -> {}
+      boolean ended =
+          policy.onBroken(broken.startNanos, brokenNanos) == CrashCheckPolicy.Decision.CHECK
+              && checkFindsEnd(broken.destination);
+      if (!ended) {
+        deferCheck(broken);
       }
     } finally {
       checkLock.unlock();
@@ -154,7 +155,8 @@
     checkLock.lock();
     try {
       if (!unchecked.isEmpty()) {
-        check(unchecked.getLast().destination);
+        checkFindsEnd(unchecked.getLast().destination);
+        unchecked.clear();
       }
     } finally {
       checkLock.unlock();
@@ -162,14 +164,15 @@
   }
 
   // Called with the lock held.
-  private void check(LocalTarget.Destination destination) {
+  private boolean checkFindsEnd(LocalTarget.Destination destination) {
     long startNanos = time.nanos();
     boolean refused = TargetConnection.isRefused(destination.address(), CHECK_TIMEOUT_NANOS);
     policy.onCheck(startNanos, !refused);
     if (refused) {
       onTargetEnded(destination);
+      unchecked.clear();
     }
-    unchecked.clear();
+    return refused;
   }
 
   private void onTargetEnded(LocalTarget.Destination destination) {
