--- a/review/standins/Machine.java
+++ b/review/standins/Machine.java
@@ -163,6 +163,11 @@
     new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
   }
 
+  /** {@return whether the process has ended within a time} */
+  boolean awaitEnd(long millis) throws InterruptedException {
+    return process.waitFor(millis, TimeUnit.MILLISECONDS);
+  }
+
   /** {@return the status of the readiness check, or -1 without an answer} */
   int ready() {
     try {
--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -46,6 +46,7 @@
   private final ServerSocket socket;
   private volatile boolean closed;
   private volatile boolean leaving;
+  private volatile String state = "ready";
 
   Server(Machine machine, String id, Work work, int receiveBufferBytes) throws IOException {
     this.machine = machine;
@@ -193,6 +194,12 @@
     }
   }
 
+  /** Says that the server is draining; it goes on serving. */
+  int drain() throws IOException {
+    state = "draining";
+    return deliver(reportBody());
+  }
+
   /** Stops reporting and says that the server is gone; it goes on serving. */
   int deregister() throws IOException {
     leaving = true;
@@ -218,7 +225,7 @@
   private String reportBody() {
     return """
         {"address":"%s:%d","born":%d,"info":{"service":"%s","version":"v1","zone":"%s","slots":%d},\
-        "status":{"state":"ready","sequence":%d,"cold_left_ms":0}}"""
+        "status":{"state":"%s","sequence":%d,"cold_left_ms":0}}"""
             .formatted(
                 machine.host(),
                 socket.getLocalPort(),
@@ -226,6 +233,7 @@
                 machine.service(),
                 machine.zone(),
                 SLOTS,
+                state,
                 sequence.incrementAndGet());
   }
 
