--- a/review/4/ForgottenLeave.java
+++ b/review/4/ForgottenLeave.java
@@ -54,7 +54,7 @@
       for (Thread client : clients) {
         client.join();
       }
-    } catch (IOException e) {
+    } catch (Exception e) {
       journal.write("cannot run: " + e);
       System.exit(2);
     }
--- a/review/5/EndlessAnswer.java
+++ b/review/5/EndlessAnswer.java
@@ -67,7 +67,7 @@
       for (Thread client : clients) {
         client.join();
       }
-    } catch (IOException e) {
+    } catch (Exception e) {
       journal.write("cannot run: " + e);
       System.exit(2);
     }
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root"
+(source tools/java-home) || exit 2
 source tools/java-home
 export TROUBLE=${TROUBLE:-1}
 if [ ! -f target/lib/node.jar ] || [ ! -f "target/review/review/$1.class" ]; then
