--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -31,8 +31,11 @@
     this.journal = journal;
     this.store = new Store();
     this.directory = Files.createTempDirectory("review");
+    // Loopback addresses of this process alone, so that scripts may run at the same time.
+    long pid = ProcessHandle.current().pid();
+    String network = "127." + (1 + pid / 250 % 250) + "." + pid % 250 + ".";
     List<String> hosts =
-        IntStream.range(0, services.size()).mapToObj(i -> "127.0.1." + (10 + i)).toList();
+        IntStream.range(0, services.size()).mapToObj(i -> network + (10 + i)).toList();
     Machine.Ports ports = Machine.Ports.free(hosts);
     for (int i = 0; i < hosts.size(); i++) {
       machines.add(
