Keep a leave that was acknowledged without the store beyond the process

Cause: a leave is acknowledged though the store did not take it, and the write is tried again beside that. If the process is killed before, its successor reads a record of the newest epoch, takes it for the whole history, and one late report opens the target.

Change: a leave is announced to other members before it is acknowledged, introductions carry the leaves that a node knows, and a receiver that keeps others of that node answers with them (new fields of gossip, passed over by earlier builds). After a restart a run is opened only once a health check names it and says that it is not leaving, or by reports over 2.5 s as before. A closed directory writes no more.

Ruled out: withholding the acknowledgement (servers that leave while the store is away would end without one), and the span of reports at each restart (each server away for 3 s).

Why it works: what is acknowledged is known to other processes, and where none is left, to the server itself.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -19,6 +19,7 @@
 import org.amaranthmoor.model.ZoneName;
 import org.amaranthmoor.protocol.node.EvacuatedZonesState;
 import org.amaranthmoor.protocol.node.Gossip;
+import org.amaranthmoor.protocol.node.LeftTargetRun;
 import org.amaranthmoor.protocol.node.MemberState;
 import org.amaranthmoor.protocol.node.RequestSuspicion;
 
@@ -59,6 +60,15 @@
   /** One of this many successive pings and syncs goes to another availability zone. */
   private static final int ZONE_CYCLE_LENGTH = 4;
 
+  /** Number of members of the own availability zone that a leave of the target is sent to. */
+  private static final int SAME_ZONE_LEAVE_KEEPERS = 8;
+
+  /**
+   * Number of members of other availability zones that a leave is sent to, so that it outlives the
+   * loss of the own zone.
+   */
+  private static final int OTHER_ZONE_LEAVE_KEEPERS = 2;
+
   /** Time between two attempts to reach a dead member, in nanoseconds. */
   private static final long DEAD_RETRY_INTERVAL_NANOS = 1_500_000_000L;
 
@@ -104,6 +114,7 @@
   private SourceEpoch sourceEpoch = SourceEpoch.UNKNOWN;
   // Built once per change, as each message carries it.
   private Optional<EvacuatedZonesState> evacuatedZones = Optional.empty();
+  private List<LeftTargetRun> leftRuns = List.of();
   private long suspicionsHash;
   private long viewHash;
   private long nextSequence;
@@ -235,6 +246,15 @@
     suspicionsHash = hash;
   }
 
+  /**
+   * Sets the runs of this node's target that have left, which introductions of this node carry.
+   *
+   * @param runs the runs
+   */
+  public synchronized void setLeftRuns(List<LeftTargetRun> runs) {
+    leftRuns = List.copyOf(runs);
+  }
+
   private void updateSelf(
       Member.Liveness liveness,
       boolean draining,
@@ -293,13 +313,7 @@
 
   // Includes the dead state, so that the member refutes it if it runs.
   private Outgoing syncWithDead(Member dead) {
-    Gossip message =
-        message(Gossip.Kind.SYNC)
-            .addStates(self.toMessage())
-            .addStates(dead.toMessage())
-            .setViewHash(viewHash)
-            .build();
-    return messageTo(dead, message);
+    return messageTo(dead, introduction().addStates(dead.toMessage()).build());
   }
 
   // Syncs with dead members recover one that was cut off, or that restarted and knows no members.
@@ -321,11 +335,14 @@
    * @return the message
    */
   public synchronized Outgoing syncRequest(String host, int port) {
-    return new Outgoing(
-        self.node(),
-        host,
-        port,
-        message(Gossip.Kind.SYNC).addStates(self.toMessage()).setViewHash(viewHash).build());
+    return new Outgoing(self.node(), host, port, introduction().build());
+  }
+
+  private Gossip.Builder introduction() {
+    return message(Gossip.Kind.SYNC)
+        .addStates(self.toMessage())
+        .addAllLeftRuns(leftRuns)
+        .setViewHash(viewHash);
   }
 
   /**
@@ -401,6 +418,34 @@
     return member(receiver).map(member -> messageTo(member, reply));
   }
 
+  /**
+   * Creates messages that carry the left runs of this node's target to the members that keep them.
+   *
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> leaveAnnouncements() {
+    Gossip announcement = message(Gossip.Kind.ACK).addAllLeftRuns(leftRuns).build();
+    List<Member> others = sameZoneFirst();
+    long sameZoneCount = others.stream().filter(this::isInSameZone).count();
+    return others.stream()
+        .skip(Math.max(0, sameZoneCount - SAME_ZONE_LEAVE_KEEPERS))
+        .limit(Math.min(sameZoneCount, SAME_ZONE_LEAVE_KEEPERS) + OTHER_ZONE_LEAVE_KEEPERS)
+        .map(member -> messageTo(member, announcement))
+        .toList();
+  }
+
+  /**
+   * Creates a message that returns to a member the left runs of its target that it announced.
+   *
+   * @param receiver the member
+   * @param runs the runs
+   * @return the message to send, or empty if the member is not known
+   */
+  public synchronized Optional<Outgoing> leaveReply(NodeName receiver, List<LeftTargetRun> runs) {
+    Gossip reply = message(Gossip.Kind.ACK).addAllReceiverLeftRuns(runs).build();
+    return member(receiver).map(member -> messageTo(member, reply));
+  }
+
   private List<Member> sameZoneFirst() {
     List<Member> others = new ArrayList<>();
     for (MemberEntry entry : members.values()) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -29,6 +29,7 @@
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.GossipSocket;
+import org.amaranthmoor.daemon.node.LeaveExchange;
 import org.amaranthmoor.daemon.node.NodeIdentity;
 import org.amaranthmoor.daemon.node.NodeQueryHandler;
 import org.amaranthmoor.daemon.node.PeerAddress;
@@ -227,6 +228,8 @@
             membership,
             peerConfig -> onPeerOffset(peerConfig.offset()),
             suspicions,
+            // Targets of this daemon are static and never leave before their node.
+            new LeaveExchange(membership, runs -> {}),
             metrics,
             time);
     this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -25,6 +25,7 @@
 import org.amaranthmoor.protocol.platform.LeftRun;
 import org.amaranthmoor.protocol.platform.QuarantineRecord;
 import org.amaranthmoor.target.CrashLedger;
+import org.amaranthmoor.target.LeftRuns;
 import org.amaranthmoor.target.SuspectRequest;
 import org.amaranthmoor.target.Suspicion;
 import org.amaranthmoor.target.TargetRun;
@@ -44,12 +45,6 @@
  */
 final class InstanceDirectory implements AutoCloseable {
 
-  /**
-   * Largest number of runs in a record; a run matters only while its reports may still be in
-   * transit.
-   */
-  private static final int MAX_LEFT_RUNS = 4;
-
   /**
    * Delay between writing and reading at the first start, in milliseconds, in which other nodes
    * write their records.
@@ -87,9 +82,10 @@
   private final SourceEpochTracker epochTracker;
   private final CrashLedger crashLedger;
   private final Consumer<Contents> onRead;
+  private final Consumer<List<TargetRun>> onLeftRunsChange;
   private final TimeSource time;
   private final EventLog log;
-  private final List<TargetRun> leftRuns = new ArrayList<>();
+  private final LeftRuns leftRuns = new LeftRuns();
   private final Object writeLock = new Object();
   private final Thread thread;
   private volatile boolean closed;
@@ -99,12 +95,26 @@
   // Whether this process has stored the record.
   private volatile boolean recordStored;
 
+  /**
+   * Creates a directory; {@link #start} begins to read and write.
+   *
+   * @param settings the settings of this node
+   * @param records the records that all nodes share
+   * @param epochTracker tracks the epochs of the source of the records
+   * @param crashLedger provides the quarantine
+   * @param onRead receives the contents of the records
+   * @param onLeftRunsChange receives the runs of this node's target that have left, newest last,
+   *     before a new one is stored; must not block
+   * @param time the clock
+   * @param log receives failures
+   */
   InstanceDirectory(
       MeshSettings settings,
       SharedRecords records,
       SourceEpochTracker epochTracker,
       CrashLedger crashLedger,
       Consumer<Contents> onRead,
+      Consumer<List<TargetRun>> onLeftRunsChange,
       TimeSource time,
       EventLog log) {
     this.settings = settings;
@@ -113,11 +123,17 @@
     this.crashLedger = crashLedger;
     this.historyKnown = settings.firstStart();
     this.onRead = onRead;
+    this.onLeftRunsChange = onLeftRunsChange;
     this.time = time;
     this.log = log;
     this.thread = Thread.ofVirtual().name("instance-directory").unstarted(this::run);
   }
 
+  /** {@return the known runs of this node's target that have left, newest last} */
+  List<TargetRun> leftRuns() {
+    return leftRuns.list();
+  }
+
   void start() {
     thread.start();
   }
@@ -170,6 +186,9 @@
       if (failure.isPresent()) {
         backOff("directory-unwritable", failure.get());
       }
+      if (closed) {
+        return;
+      }
       failure = write();
     }
   }
@@ -212,7 +231,7 @@
               .setEpoch(
                   historyKnown ? epochTracker.newest().number() : SourceEpoch.UNKNOWN.number())
               .setFirstEpoch(epochTracker.first().number());
-      for (TargetRun run : leftRuns) {
+      for (TargetRun run : leftRuns.list()) {
         record.addLeftRuns(
             LeftRun.newBuilder().setId(run.id()).setStartedMillis(run.startedMillis()));
       }
@@ -274,8 +293,9 @@
   }
 
   /**
-   * Stores in the shared records that a run leaves, so that the next process of this node knows it.
-   * Blocks for at most the time limit of one write; a failed write is retried in the background.
+   * Announces that a run leaves, and stores it in the shared records, so that the next process of
+   * this node knows it. Blocks for at most the time limit of one write; a failed write is retried
+   * in the background.
    *
    * @param run the run
    */
@@ -283,13 +303,10 @@
     Optional<String> failure;
     // A concurrent call for the same run waits for this write.
     synchronized (writeLock) {
-      if (leftRuns.contains(run)) {
+      if (!leftRuns.add(run)) {
         return;
       }
-      leftRuns.add(run);
-      if (leftRuns.size() > MAX_LEFT_RUNS) {
-        leftRuns.removeFirst();
-      }
+      onLeftRunsChange.accept(leftRuns.list());
       failure = write();
     }
     if (failure.isPresent()) {
@@ -326,19 +343,13 @@
         record.ifPresent(found -> others.add(toMember(found)));
       }
     }
-    List<TargetRun> ownLeftRuns = own.map(InstanceDirectory::leftRuns).orElse(List.of());
+    List<TargetRun> ownLeftRuns = own.map(InstanceDirectory::leftRunsOf).orElse(List.of());
     historyKnown = own.map(this::isFromNewestEpoch).orElse(!epochTracker.hasRolledBack());
     boolean upToDate = historyKnown && own.map(this::hasCurrentAddressAndZone).orElse(false);
     if (upToDate) {
       epochTracker.onRecordStored(new SourceEpoch(own.get().getEpoch()));
     }
-    synchronized (writeLock) {
-      for (TargetRun run : ownLeftRuns) {
-        if (!leftRuns.contains(run)) {
-          leftRuns.addFirst(run);
-        }
-      }
-    }
+    leftRuns.addEarlier(ownLeftRuns);
     onRead.accept(new Contents(others, ownLeftRuns, historyKnown, quarantine));
     return upToDate;
   }
@@ -372,7 +383,7 @@
     return Optional.empty();
   }
 
-  private static List<TargetRun> leftRuns(InstanceRecord record) {
+  private static List<TargetRun> leftRunsOf(InstanceRecord record) {
     return record.getLeftRunsList().stream()
         .map(run -> new TargetRun(run.getId(), run.getStartedMillis()))
         .toList();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -30,6 +30,7 @@
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.GossipSocket;
+import org.amaranthmoor.daemon.node.LeaveExchange;
 import org.amaranthmoor.daemon.node.NodeIdentity;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.node.PeerServer;
@@ -37,6 +38,7 @@
 import org.amaranthmoor.daemon.operator.NodeGauges;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.daemon.target.CrashListener;
+import org.amaranthmoor.daemon.target.HealthCheckClient;
 import org.amaranthmoor.daemon.target.RegisteredTarget;
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
 import org.amaranthmoor.daemon.target.TargetDialect;
@@ -141,13 +143,16 @@
   private final Membership membership;
   private final CrashLedger crashLedger = new CrashLedger();
   private final SuspicionExchange suspicions;
+  private final LeaveExchange leaves;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final LoadShedder shedder;
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
   private final TargetLifecycle lifecycle;
+  private final HealthCheckClient healthCheckClient;
   private final TargetSide targetSide;
+  private final RestartConfirmation confirmation;
   private final TargetRegistry registry;
   private final RoutingSnapshots views;
   private final PeerLinks links;
@@ -206,6 +211,7 @@
         new Membership(
             self(), GossipTimings.standard(), RandomGenerator.getDefault(), time.nanos());
     this.suspicions = new SuspicionExchange(crashLedger, membership, time, log);
+    this.leaves = new LeaveExchange(membership, this::onEarlierLeaves);
     this.readPolicy = new ConfigReadPolicy(settings.node());
     this.epochTracker = epochTracker;
     this.lifecycle = new TargetLifecycle(settings.firstStart());
@@ -213,7 +219,10 @@
     RequestQuarantine quarantine =
         new RequestQuarantine(
             crashLedger, new RequestFingerprinter(targetDialect.callerHeader()), time);
-    this.targetSide = createTargetSide(health, targetDialect, quarantine);
+    TargetConnectionPool connections =
+        new TargetConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_TIMEOUT_MILLIS, time);
+    this.healthCheckClient = new HealthCheckClient(connections, targetDialect);
+    this.targetSide = createTargetSide(health, targetDialect, connections, quarantine);
     this.views =
         new RoutingSnapshots(
             settings.zone(),
@@ -243,7 +252,17 @@
         new CallerHandler(views, entrySide, callerDialect, targetSide::runningAttempt, time);
     this.directory =
         new InstanceDirectory(
-            settings, records, epochTracker, crashLedger, this::onRecordsRead, time, log);
+            settings,
+            records,
+            epochTracker,
+            crashLedger,
+            this::onRecordsRead,
+            this::announceLeaves,
+            time,
+            log);
+    this.confirmation =
+        new RestartConfirmation(
+            lifecycle, this::healthCheck, healthCheckClient, targetDialect, executor, time, log);
     this.registry =
         new TargetRegistry(
             lifecycle,
@@ -255,6 +274,7 @@
             this::coldStart,
             () -> isOwnZoneEvacuated(time.nanos()),
             this::announceOwnState,
+            confirmation,
             time,
             log);
     this.follower =
@@ -290,6 +310,7 @@
             membership,
             this::onPeerConfigState,
             suspicions,
+            leaves,
             metrics,
             time);
     this.nextPeerSearchNanos = time.nanos();
@@ -306,14 +327,15 @@
   }
 
   private TargetSide createTargetSide(
-      TargetHealth health, TargetDialect dialect, RequestQuarantine quarantine) {
+      TargetHealth health,
+      TargetDialect dialect,
+      TargetConnectionPool connections,
+      RequestQuarantine quarantine) {
     Admission admission =
         new Admission(INITIAL_SLOTS, 0, RandomGenerator.getDefault(), time.nanos());
-    TargetConnectionPool connections =
-        new TargetConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_TIMEOUT_MILLIS, time);
     TargetProbe probe =
         new TargetProbe(
-            this::targetHealthCheck, connections, dialect, admission, executor, time, log);
+            this::targetHealthCheck, healthCheckClient, dialect, admission, executor, time, log);
     admission.setSpeedProbe(probe::probe);
     // Retries of callers carry no idempotency keys here, so no key is ever claimed or stored.
     KeyOwnership noOwnership =
@@ -338,6 +360,23 @@
     executor.execute(() -> tasks.run(() -> registry.onLeave(run)));
   }
 
+  private void announceLeaves(List<TargetRun> runs) {
+    gossip.send(leaves.announcements(runs));
+  }
+
+  // An earlier process of this node announced these leaves, and the shared records may lack them.
+  private void onEarlierLeaves(List<TargetRun> runs) {
+    List<TargetRun> unknown = runs.stream().filter(run -> !lifecycle.isGone(run)).toList();
+    unknown.forEach(this::recordEarlierLeave);
+  }
+
+  private void recordEarlierLeave(TargetRun run) {
+    log.info("leave-learned", () -> "run=" + EventLog.quote(run.id()));
+    // Before the executor runs, so that no request is handed over meanwhile.
+    lifecycle.onGone(run);
+    onLeaveDetected(run);
+  }
+
   // Sends suspicions to the other nodes, and stores a quarantine.
   private final class CrashReporter implements CrashListener {
 
@@ -362,21 +401,20 @@
     }
   }
 
-  private Optional<TargetProbe.HealthCheck> targetHealthCheck() {
+  private Optional<HealthCheckClient.HealthCheck> targetHealthCheck() {
     long now = time.nanos();
-    Optional<TargetLifecycle.Report> report =
-        lifecycle.ready(now).filter(ready -> !isOwnZoneEvacuated(now));
-    Optional<String> path =
-        report.flatMap(
-            ready ->
-                configHolder
-                    .current()
-                    .map(config -> config.healthPaths().get(ready.serving().service())));
-    return report.flatMap(
-        ready ->
-            path.map(
-                found ->
-                    new TargetProbe.HealthCheck(new Endpoint(ready.host(), ready.port()), found)));
+    return lifecycle
+        .ready(now)
+        .filter(ready -> !isOwnZoneEvacuated(now))
+        .flatMap(this::healthCheck);
+  }
+
+  private Optional<HealthCheckClient.HealthCheck> healthCheck(TargetLifecycle.Report report) {
+    Endpoint address = new Endpoint(report.host(), report.port());
+    return configHolder
+        .current()
+        .map(config -> config.healthPaths().get(report.serving().service()))
+        .map(path -> new HealthCheckClient.HealthCheck(address, path));
   }
 
   private Member self() {
@@ -476,8 +514,9 @@
 
   private void onRecordsRead(InstanceDirectory.Contents contents) {
     contents.leftRuns().forEach(lifecycle::onGone);
+    leaves.setOwnLeaves(directory.leftRuns());
     if (contents.historyKnown()) {
-      lifecycle.onHistoryKnown();
+      confirmation.onRecordsComplete();
     }
     contents.others().forEach(membership::learn);
     crashLedger.merge(contents.quarantine(), time.nanos());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -21,9 +21,10 @@
  * Receives the reports of the target beside this node, and opens and closes the target side
  * accordingly.
  *
- * <p>Invariants: when a leave is acknowledged, the target side has been closed for the run, and the
- * leave is stored in the shared records if they can be written; the target side is closed while the
- * operator has evacuated the availability zone. Safe for use by several threads.
+ * <p>Invariants: when a leave is acknowledged, the target side has been closed for the run, the
+ * leave has been announced to other nodes, and it is stored in the shared records if they can be
+ * written; the target side is closed while the operator has evacuated the availability zone. Safe
+ * for use by several threads.
  */
 public final class TargetRegistry {
 
@@ -50,6 +51,7 @@
   private final Function<ServiceName, ColdStart> coldStarts;
   private final BooleanSupplier zoneEvacuated;
   private final Runnable onTargetSideChange;
+  private final RestartConfirmation confirmation;
   private final TimeSource time;
   private final EventLog log;
   // The report that the target side is open for. Written under the lock, read without it.
@@ -70,6 +72,7 @@
       Function<ServiceName, ColdStart> coldStarts,
       BooleanSupplier zoneEvacuated,
       Runnable onTargetSideChange,
+      RestartConfirmation confirmation,
       TimeSource time,
       EventLog log) {
     this.lifecycle = lifecycle;
@@ -81,6 +84,7 @@
     this.coldStarts = coldStarts;
     this.zoneEvacuated = zoneEvacuated;
     this.onTargetSideChange = onTargetSideChange;
+    this.confirmation = confirmation;
     this.time = time;
     this.log = log;
     targetSide.close(ResultCode.TARGET_ABSENT);
@@ -151,6 +155,7 @@
    * times a second.
    */
   synchronized void refresh() {
+    confirmation.checkIfNeeded(this::refresh);
     boolean evacuated = zoneEvacuated.getAsBoolean();
     Optional<TargetLifecycle.Report> ready =
         lifecycle.ready(time.nanos()).filter(report -> !stopping && !evacuated);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -63,6 +63,7 @@
   private final Membership membership;
   private final PeerConfigListener peerConfigListener;
   private final SuspicionExchange suspicions;
+  private final LeaveExchange leaves;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final Channel channel;
@@ -76,6 +77,7 @@
    * @param membership handles received messages and creates the messages to send
    * @param peerConfigListener receives the state of other nodes' configurations
    * @param suspicions exchanges suspicions against requests
+   * @param leaves keeps the leaves of other nodes' targets
    * @param metrics counts bytes and messages that could not be handled
    * @param time the clock
    */
@@ -86,11 +88,13 @@
       Membership membership,
       PeerConfigListener peerConfigListener,
       SuspicionExchange suspicions,
+      LeaveExchange leaves,
       NodeMetrics metrics,
       TimeSource time) {
     this.membership = membership;
     this.peerConfigListener = peerConfigListener;
     this.suspicions = suspicions;
+    this.leaves = leaves;
     this.metrics = metrics;
     this.time = time;
     this.channel =
@@ -137,6 +141,7 @@
         Gossip gossip = Gossip.parseFrom(bytes);
         send(membership.receive(gossip, time.nanos()));
         syncWithUnknown(gossip.getSender(), packet.sender());
+        send(leaves.receive(gossip));
         send(suspicions.receive(gossip));
         peerConfigListener.onPeerConfig(peerConfig(gossip));
       } catch (InvalidProtocolBufferException e) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/NativeTargetDialect.java
@@ -59,6 +59,11 @@
     return new HealthReport(OptionalDouble.empty(), OptionalLong.empty());
   }
 
+  @Override
+  public boolean confirmsRun(HttpResponse response, TargetRun run) {
+    return false;
+  }
+
   @Override
   public TargetNotice notice(HttpResponse response) {
     return TargetNotice.NONE;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetDialect.java
@@ -72,6 +72,16 @@
    */
   boolean isHealthCheckResponse(HttpResponse response);
 
+  /**
+   * Returns whether the target states in its response to a health check that it is a given run and
+   * not leaving.
+   *
+   * @param response the head of the response
+   * @param run the run
+   * @return whether the target confirms the run; false if it does not identify itself
+   */
+  boolean confirmsRun(HttpResponse response, TargetRun run);
+
   /**
    * Returns the factor by which the target is slower than usual at this moment.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -7,14 +7,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.amaranthmoor.daemon.log.EventLog;
-import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.model.TokenBucket;
 import org.amaranthmoor.target.Admission;
-import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
 /**
  * Probes the health check of the target for its current speed while queued requests depend on it.
@@ -31,28 +27,11 @@
   /** Probes that may be sent at once in excess of the sustained rate. */
   private static final int BURST_PROBES = 20;
 
-  /**
-   * Timeout of the connect, and again of each read of the response, in nanoseconds: a target
-   * responds to its health check at once, whatever its load.
-   */
-  private static final long TIMEOUT_NANOS = 60_000_000L;
-
   /** Time between two probes while requests wait for the end of a slow phase, in milliseconds. */
   private static final long PROBE_INTERVAL_MILLIS = 50;
 
-  /** Largest body of a response that is read to its end, in bytes. */
-  private static final int MAX_BODY_BYTES = 4_096;
-
-  /**
-   * The health check of a target.
-   *
-   * @param address the address of the target
-   * @param path the path of the health check
-   */
-  public record HealthCheck(Endpoint address, String path) {}
-
-  private final Supplier<Optional<HealthCheck>> healthCheck;
-  private final TargetConnectionPool connections;
+  private final Supplier<Optional<HealthCheckClient.HealthCheck>> healthCheck;
+  private final HealthCheckClient client;
   private final TargetDialect dialect;
   private final Admission admission;
   private final ExecutorService executor;
@@ -65,7 +44,7 @@
    * Creates a probe.
    *
    * @param healthCheck returns the health check of the target, or empty if there is no target
-   * @param connections connections to the target
+   * @param client sends the health checks
    * @param dialect interprets the responses
    * @param admission receives the speed of the target
    * @param executor runs the probes
@@ -73,15 +52,15 @@
    * @param log receives failed probes
    */
   public TargetProbe(
-      Supplier<Optional<HealthCheck>> healthCheck,
-      TargetConnectionPool connections,
+      Supplier<Optional<HealthCheckClient.HealthCheck>> healthCheck,
+      HealthCheckClient client,
       TargetDialect dialect,
       Admission admission,
       ExecutorService executor,
       TimeSource time,
       EventLog log) {
     this.healthCheck = healthCheck;
-    this.connections = connections;
+    this.client = client;
     this.dialect = dialect;
     this.admission = admission;
     this.executor = executor;
@@ -112,14 +91,15 @@
   }
 
   private void probeOnce() {
-    Optional<HealthCheck> check = healthCheck.get();
+    Optional<HealthCheckClient.HealthCheck> check = healthCheck.get();
     if (check.isEmpty() || !rateLimit.tryAcquire(time.nanos())) {
       admission.onSpeedUnknown(time.nanos());
       return;
     }
     try {
       long sentNanos = time.nanos();
-      Optional<TargetDialect.HealthReport> report = exchange(check.get());
+      Optional<TargetDialect.HealthReport> report =
+          client.send(check.get()).map(dialect::healthReport);
       report
           .map(TargetDialect.HealthReport::coldLeftNanos)
           .ifPresent(
@@ -135,39 +115,4 @@
     }
     admission.onSpeedUnknown(time.nanos());
   }
-
-  // Reads the body and returns whether that was all of it. A body that is longer than a response to
-  // a health check can be endless, so the rest is not read.
-  private static boolean discardBody(HttpEntity entity) throws IOException {
-    return entity == null
-        || entity.getContent().readNBytes(MAX_BODY_BYTES + 1).length <= MAX_BODY_BYTES;
-  }
-
-  private Optional<TargetDialect.HealthReport> exchange(HealthCheck check)
-      throws IOException, HttpException {
-    TargetConnection connection = connections.acquire(check.address(), true, TIMEOUT_NANOS);
-    boolean reusable = false;
-    try {
-      connection.setTimeoutNanos(TIMEOUT_NANOS);
-      BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", check.path());
-      request.setHeader("Host", check.address().toString());
-      connection.sendRequestHeader(request);
-      connection.flush();
-      ClassicHttpResponse response = connection.receiveResponseHeader();
-      connection.receiveResponseEntity(response);
-      connection.readKeepAlive(response);
-      boolean valid = dialect.isHealthCheckResponse(response);
-      reusable =
-          discardBody(response.getEntity())
-              && valid
-              && TargetExchange.keepsAlive(request, response);
-      return valid ? Optional.of(dialect.healthReport(response)) : Optional.empty();
-    } finally {
-      if (reusable) {
-        connections.release(connection);
-      } else {
-        connection.abort();
-      }
-    }
-  }
 }
