Never end a body that failed like a whole one

Cause: HttpCore closes the stream that it writes a body to in every case. For a chunked body that writes the last chunk; a connection that is then closed gracefully sends it. Requests that a node sends to a server were ended in the same way.

Change: an entity whose body fails resets the connection before the stream is closed, in both directions and for every listener. Why it works: the stream then has nowhere to write to, so neither a last chunk nor an orderly end follows.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -1,14 +1,18 @@
 package org.amaranthmoor.daemon.http;
 
+import java.io.IOException;
 import java.io.InputStream;
+import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
- * A connection to an HTTP server, on which a response that is cut off never appears complete.
+ * A connection to an HTTP server, on which neither a response that is cut off nor a request whose
+ * body fails ever appears complete.
  *
  * <p>Used by one thread at a time, except for closing it.
  */
@@ -33,6 +37,14 @@
     return parser.hasBufferedBytes();
   }
 
+  @Override
+  public void sendRequestEntity(ClassicHttpRequest request) throws HttpException, IOException {
+    if (request.getEntity() != null) {
+      request.setEntity(new AbortingEntity(request.getEntity(), this));
+    }
+    super.sendRequestEntity(request);
+  }
+
   @Override
   protected InputStream createContentInputStream(
       long length, SessionInputBuffer buffer, InputStream in) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -1,13 +1,17 @@
 package org.amaranthmoor.daemon.http;
 
+import java.io.IOException;
 import java.io.InputStream;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
- * A connection from an HTTP client, on which a request that is cut off never appears complete.
+ * A connection from an HTTP client, on which neither a request that is cut off nor a response whose
+ * body fails ever appears complete.
  *
  * <p>Used by one thread at a time, except for closing it.
  */
@@ -26,6 +30,14 @@
         null);
   }
 
+  @Override
+  public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
+    if (response.getEntity() != null) {
+      response.setEntity(new AbortingEntity(response.getEntity(), this));
+    }
+    super.sendResponseEntity(response);
+  }
+
   @Override
   protected InputStream createContentInputStream(
       long length, SessionInputBuffer buffer, InputStream in) {
