End every wait for a part of an answer at the deadline of its request

Cause: after the head no deadline holds. The time limit of a socket is one for each read, so that a server that keeps sending is never too late; the pipe between threads, the window of a link and the copy to a caller had no limit.

Change: a watch, driven by the nodes' tick, aborts exchanges that are past their deadline and resets callers that still receive; pipe and window end their waits at the deadline. response-cut-off names the request, the time left and the reason. An exchange that is overdue while its answer is passed on counts neither for nor against the server, as the reader may be the slow one.

Why it works: the end of the whole is kept by a clock of its own, not by the limits of its parts.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -22,6 +22,7 @@
 import org.amaranthmoor.daemon.caller.ReleaseNoteRoutingSource;
 import org.amaranthmoor.daemon.caller.RoutingSnapshots;
 import org.amaranthmoor.daemon.caller.TargetConnector;
+import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.http.HttpListener;
@@ -108,6 +109,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+  private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
   private final AtomicReference<KeyOwnership> ownership;
   private final TargetSide targetSide;
@@ -172,13 +174,19 @@
         new NodeQueryHandler(settings, identity, stateHolder, ownership, targetSide, views, time);
     // Scheduling delays are not measured here, so the shedder admits every call.
     LoadShedder shedder = new LoadShedder(time.nanos());
-    TargetConnector access = new TargetConnector(identity, targetSide, links, executor);
+    TargetConnector access = new TargetConnector(identity, targetSide, links, executor, time);
     this.entrySide =
         new EntrySide(
             settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
     this.callerHandler =
         new CallerHandler(
-            views, entrySide, new NativeCallerDialect(time), targetSide::runningAttempt, time);
+            views,
+            entrySide,
+            new NativeCallerDialect(time),
+            targetSide::runningAttempt,
+            deadlineWatch,
+            time,
+            log);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
     this.announcer = new Announcer(settings, identity, platformLog, log);
@@ -258,6 +266,7 @@
         new StaticTarget(target.address()),
         dialect,
         connections,
+        deadlineWatch,
         quarantine,
         new CrashReporter(),
         metrics,
@@ -409,6 +418,7 @@
   }
 
   private void tick() {
+    tasks.run(() -> deadlineWatch.abortOverdue(time.nanos()));
     tasks.run(suspicions::refresh);
     tasks.run(gossip::tick);
     tasks.run(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -12,7 +12,9 @@
 import org.amaranthmoor.caller.Route;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
@@ -27,6 +29,7 @@
 import org.apache.hc.core5.http.io.entity.InputStreamEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
 
 /**
  * Handles callers' HTTP requests: routes them, serves them by the entry side, and responds.
@@ -40,11 +43,19 @@
   private final CallRequestParser parser;
   private final CallerDialect dialect;
   private final FirstAttemptEstimator firstAttemptEstimator = new FirstAttemptEstimator();
+  private final DeadlineWatch deadlineWatch;
   private final TimeSource time;
+  private final EventLog log;
   private final AtomicInteger callsInProgress = new AtomicInteger();
   private volatile boolean closingConnections;
   private volatile boolean refusingNewCalls;
 
+  /**
+   * Time after the deadline at which the connection of a caller is reset that has not received the
+   * whole response, in nanoseconds. The response usually fails at the deadline by itself.
+   */
+  private static final long RESET_DELAY_NANOS = 100_000_000L;
+
   /**
    * Creates a handler.
    *
@@ -52,18 +63,24 @@
    * @param entrySide serves calls
    * @param dialect parses requests and creates responses
    * @param runningRequests looks up the requests that run at the target beside this node
+   * @param deadlineWatch resets connections to callers that do not receive a response in time
    * @param time the time source
+   * @param log receives responses that were cut off
    */
   public CallerHandler(
       RoutingSnapshots snapshots,
       EntrySide entrySide,
       CallerDialect dialect,
       RunningRequests runningRequests,
-      TimeSource time) {
+      DeadlineWatch deadlineWatch,
+      TimeSource time,
+      EventLog log) {
     this.snapshots = snapshots;
     this.entrySide = entrySide;
     this.dialect = dialect;
+    this.deadlineWatch = deadlineWatch;
     this.time = time;
+    this.log = log;
     this.parser = new CallRequestParser(dialect, runningRequests, firstAttemptEstimator, time);
   }
 
@@ -151,7 +168,7 @@
       // The unread rest of the body would be parsed as the next request on this connection.
       response.setHeader("Connection", "close");
     }
-    submit(trigger, response, result.outcome());
+    submit(trigger, response, result.outcome(), request, caller);
   }
 
   private Outcome.NotRun<CallResponse> withRetryDelay(
@@ -180,21 +197,59 @@
         : 0;
   }
 
-  private static void submit(
-      ResponseTrigger trigger, ClassicHttpResponse response, Outcome<CallResponse> outcome)
+  private void submit(
+      ResponseTrigger trigger,
+      ClassicHttpResponse response,
+      Outcome<CallResponse> outcome,
+      CallRequest request,
+      HttpCallerConnection caller)
       throws HttpException, IOException {
     if (outcome instanceof Outcome.Answered<CallResponse> answered
         && answered.response().body() instanceof CallResponse.Body.Streamed streamed) {
-      try {
-        trigger.submitResponse(response);
-      } finally {
-        streamed.stream().close();
-      }
+      submitStreamed(trigger, response, streamed, request, caller);
       return;
     }
     trigger.submitResponse(response);
   }
 
+  // A response whose body fails is cut off visibly, so that the caller does not take it for whole.
+  private void submitStreamed(
+      ResponseTrigger trigger,
+      ClassicHttpResponse response,
+      CallResponse.Body.Streamed body,
+      CallRequest request,
+      HttpCallerConnection caller)
+      throws HttpException, IOException {
+    DeadlineWatch.Watched watched =
+        deadlineWatch.watch(request.deadlineNanos() + RESET_DELAY_NANOS, caller::reset);
+    try {
+      trigger.submitResponse(response);
+    } catch (IOException | HttpException e) {
+      logCutOff(request, watched.close(), e);
+      throw e;
+    } finally {
+      watched.close();
+      body.stream().close();
+    }
+  }
+
+  private void logCutOff(CallRequest request, boolean inTime, Exception cause) {
+    long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - time.nanos());
+    log.requestFailed(
+        "response-cut-off",
+        () ->
+            "id="
+                + request.id()
+                + " rule="
+                + request.rule()
+                + " left-ms="
+                + leftMillis
+                + " reset-at-deadline="
+                + !inTime
+                + " error="
+                + EventLog.quote(cause.toString()));
+  }
+
   private ClassicHttpResponse answeredResponse(
       CallResponse answer, Optional<Server> server, ClassicHttpRequest http) {
     ClassicHttpResponse response = new BasicClassicHttpResponse(answer.status());
@@ -252,6 +307,13 @@
       }
     }
 
+    void reset() {
+      if (context.getAttribute(HttpListener.CONNECTION_ATTRIBUTE)
+          instanceof DefaultBHttpServerConnection open) {
+        open.close(CloseMode.IMMEDIATE);
+      }
+    }
+
     boolean bodyEnded(CallRequest request) {
       return request.bodyComplete() || bodyEnded;
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
@@ -9,11 +9,13 @@
 import org.amaranthmoor.daemon.exchange.BodyPipe;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.Deadline;
 import org.amaranthmoor.daemon.exchange.Exchange;
 import org.amaranthmoor.daemon.exchange.SendWindow;
 import org.amaranthmoor.daemon.target.InboundCall;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.target.HandOver;
 
 /**
@@ -24,15 +26,19 @@
 final class LocalExchange implements Exchange {
 
   private final CompletableFuture<Outcome<CallResponse>> outcome = new CompletableFuture<>();
-  private final BodyPipe body = new BodyPipe(SendWindow.INITIAL_BYTES, bytes -> {});
+  private final BodyPipe body;
   private final InboundCall call;
 
-  private LocalExchange(CallRequest request) {
+  private LocalExchange(CallRequest request, TimeSource time) {
+    this.body =
+        new BodyPipe(
+            SendWindow.INITIAL_BYTES, new Deadline(request.deadlineNanos(), time), bytes -> {});
     this.call = new InboundCall(request, body, new HandOver());
   }
 
-  static LocalExchange start(TargetSide targetSide, CallRequest request, Executor executor) {
-    LocalExchange exchange = new LocalExchange(request);
+  static LocalExchange start(
+      TargetSide targetSide, CallRequest request, Executor executor, TimeSource time) {
+    LocalExchange exchange = new LocalExchange(request, time);
     executor.execute(() -> exchange.run(targetSide));
     return exchange;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/TargetConnector.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/TargetConnector.java
@@ -9,6 +9,7 @@
 import org.amaranthmoor.daemon.node.PeerAddress;
 import org.amaranthmoor.daemon.node.PeerLinks;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.TimeSource;
 
 /**
  * Opens exchanges with target sides: directly with this node's own, over links with those of other
@@ -22,6 +23,7 @@
   private final TargetSide ownTargetSide;
   private final PeerLinks links;
   private final Executor executor;
+  private final TimeSource time;
 
   /**
    * Creates a connector.
@@ -30,13 +32,19 @@
    * @param ownTargetSide this node's target side
    * @param links links to other nodes
    * @param executor runs requests at this node's target side
+   * @param time the clock
    */
   public TargetConnector(
-      NodeIdentity identity, TargetSide ownTargetSide, PeerLinks links, Executor executor) {
+      NodeIdentity identity,
+      TargetSide ownTargetSide,
+      PeerLinks links,
+      Executor executor,
+      TimeSource time) {
     this.identity = identity;
     this.ownTargetSide = ownTargetSide;
     this.links = links;
     this.executor = executor;
+    this.time = time;
   }
 
   /**
@@ -52,7 +60,7 @@
         server.node().equals(identity.node())
             && server.incarnation().equals(identity.incarnation());
     if (isOwnNode) {
-      return Optional.of(LocalExchange.start(ownTargetSide, request, executor));
+      return Optional.of(LocalExchange.start(ownTargetSide, request, executor, time));
     }
     return links.open(peerAddress(server), request, configOffset);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InterruptedIOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -15,8 +16,8 @@
  *
  * <p>Supports flow control: {@code onRead} receives the number of bytes read, for which the sender
  * can be granted new credit. Invariant: the reader sees every byte in order followed by the end of
- * the stream, or an {@link IOException}; a truncated body is never reported as complete. Safe for
- * one writer and one reader.
+ * the stream, or an {@link IOException}; a truncated body is never reported as complete; neither
+ * side waits past the deadline. Safe for one writer and one reader.
  */
 public final class BodyPipe extends InputStream {
 
@@ -24,6 +25,7 @@
   private final Condition changed = lock.newCondition();
   private final Deque<byte[]> chunks = new ArrayDeque<>();
   private final int capacityBytes;
+  private final Deadline deadline;
   private final IntConsumer onRead;
   private int position;
   private int bufferedBytes;
@@ -35,10 +37,12 @@
    * Creates an empty pipe.
    *
    * @param capacityBytes number of buffered bytes from which {@link #write} blocks
+   * @param deadline the end of each wait of the writer and of the reader
    * @param onRead receives the number of bytes of each read; called outside the lock
    */
-  public BodyPipe(int capacityBytes, IntConsumer onRead) {
+  public BodyPipe(int capacityBytes, Deadline deadline, IntConsumer onRead) {
     this.capacityBytes = capacityBytes;
+    this.deadline = deadline;
     this.onRead = onRead;
   }
 
@@ -60,14 +64,18 @@
    * Adds bytes, blocking while the pipe is full.
    *
    * @param bytes the bytes; must not be modified afterwards
-   * @return false if the reader has closed the pipe or the pipe has failed
+   * @return false if the reader has closed the pipe, the pipe has failed, or it is still full at
+   *     the deadline
    * @throws InterruptedException if the thread is interrupted
    */
   public boolean write(byte[] bytes) throws InterruptedException {
     lock.lockInterruptibly();
     try {
       while (bufferedBytes >= capacityBytes && !closed && failure.isEmpty()) {
-        changed.await();
+        if (deadline.hasPassed()) {
+          return false;
+        }
+        var unused = changed.awaitNanos(deadline.remainingNanos());
       }
       if (closed || failure.isPresent()) {
         return false;
@@ -165,8 +173,11 @@
       if (closed) {
         throw new IOException("cannot read the body because it was closed");
       }
+      if (deadline.hasPassed()) {
+        throw new SocketTimeoutException("the rest of the body did not arrive before the deadline");
+      }
       try {
-        changed.await();
+        var unused = changed.awaitNanos(deadline.remainingNanos());
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         throw new InterruptedIOException("interrupted while waiting for more of the body");
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/SendWindow.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/SendWindow.java
@@ -7,7 +7,7 @@
  * Flow control window of one body: blocks the sender until the receiver has room.
  *
  * <p>Invariant: the bytes acquired before the window is closed never exceed {@link #INITIAL_BYTES}
- * plus the credit granted. Safe for use by several threads.
+ * plus the credit granted; nobody waits past the deadline. Safe for use by several threads.
  */
 public final class SendWindow {
 
@@ -16,24 +16,34 @@
 
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition changed = lock.newCondition();
+  private final Deadline deadline;
   private long credit = INITIAL_BYTES;
   private boolean closed;
 
-  /** Creates a window of {@link #INITIAL_BYTES}. */
-  public SendWindow() {}
+  /**
+   * Creates a window of {@link #INITIAL_BYTES}.
+   *
+   * @param deadline the end of each wait for credit
+   */
+  public SendWindow(Deadline deadline) {
+    this.deadline = deadline;
+  }
 
   /**
    * Acquires credit, blocking until there is enough.
    *
    * @param bytes number of bytes to send
-   * @return false if the window was closed
+   * @return false if the window was closed, or had not enough credit at the deadline
    * @throws InterruptedException if the thread is interrupted
    */
   public boolean acquire(int bytes) throws InterruptedException {
     lock.lockInterruptibly();
     try {
       while (credit < bytes && !closed) {
-        changed.await();
+        if (deadline.hasPassed()) {
+          return false;
+        }
+        var unused = changed.awaitNanos(deadline.remainingNanos());
       }
       credit -= bytes;
       return !closed;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -22,6 +22,7 @@
 import org.amaranthmoor.daemon.caller.EntrySide;
 import org.amaranthmoor.daemon.caller.RoutingSnapshots;
 import org.amaranthmoor.daemon.caller.TargetConnector;
+import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.exchange.TimedExecutor;
@@ -147,6 +148,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+  private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final LoadShedder shedder;
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
   private final TargetLifecycle lifecycle;
@@ -244,12 +246,13 @@
     this.shedder = new LoadShedder(time.nanos());
     TimedExecutor timed =
         new TimedExecutor(executor, delay -> shedder.onSchedulingDelay(delay, time.nanos()), time);
-    TargetConnector access = new TargetConnector(identity, targetSide, links, timed);
+    TargetConnector access = new TargetConnector(identity, targetSide, links, timed, time);
     this.entrySide =
         new EntrySide(
             settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
     this.callerHandler =
-        new CallerHandler(views, entrySide, callerDialect, targetSide::runningAttempt, time);
+        new CallerHandler(
+            views, entrySide, callerDialect, targetSide::runningAttempt, deadlineWatch, time, log);
     this.directory =
         new InstanceDirectory(
             settings,
@@ -348,6 +351,7 @@
             lifecycle, health, this::isOwnZoneEvacuated, this::onLeaveDetected, log),
         dialect,
         connections,
+        deadlineWatch,
         quarantine,
         new CrashReporter(),
         metrics,
@@ -713,6 +717,7 @@
   }
 
   private void runPeriodicTasks() {
+    tasks.run(() -> deadlineWatch.abortOverdue(time.nanos()));
     tasks.run(gossip::tick);
     tasks.run(suspicions::refresh);
     tasks.run(this::handleEpochChange);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -7,11 +7,13 @@
 import org.amaranthmoor.daemon.exchange.BodyPipe;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.Deadline;
 import org.amaranthmoor.daemon.exchange.SendWindow;
 import org.amaranthmoor.daemon.target.InboundCall;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.protocol.node.Data;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.target.HandOver;
@@ -28,15 +30,23 @@
   private final Channel channel;
   private final TargetSide targetSide;
   private final BodyPipe requestBody;
-  private final SendWindow sendWindow = new SendWindow();
+  private final SendWindow sendWindow;
   private final InboundCall call;
 
   InboundStream(
-      long id, Channel channel, TargetSide targetSide, CallRequest request, HandOver handOver) {
+      long id,
+      Channel channel,
+      TargetSide targetSide,
+      CallRequest request,
+      HandOver handOver,
+      TimeSource time) {
+    Deadline deadline = new Deadline(request.deadlineNanos(), time);
     this.id = id;
     this.channel = channel;
     this.targetSide = targetSide;
-    this.requestBody = new BodyPipe(Integer.MAX_VALUE, bytes -> send(Frames.credit(id, bytes)));
+    this.sendWindow = new SendWindow(deadline);
+    this.requestBody =
+        new BodyPipe(Integer.MAX_VALUE, deadline, bytes -> send(Frames.credit(id, bytes)));
     this.call = new InboundCall(request, requestBody, handOver);
   }
 
@@ -89,7 +99,9 @@
     int count = body.read(buffer);
     while (count >= 0) {
       if (!sendWindow.acquire(count)) {
-        throw new IOException("the entry side cancelled the request or its link was lost");
+        throw new IOException(
+            "the entry side cancelled the request, its link was lost, or it did not read the"
+                + " response before the deadline");
       }
       send(Frames.data(id, Arrays.copyOf(buffer, count), false));
       count = body.read(buffer);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import org.amaranthmoor.daemon.exchange.BodyPipe;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.Deadline;
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.Exchange;
 import org.amaranthmoor.daemon.exchange.SendWindow;
@@ -29,15 +30,16 @@
   private final PeerLink link;
   private final boolean idempotent;
   private final CompletableFuture<Outcome<CallResponse>> outcome = new CompletableFuture<>();
-  private final SendWindow sendWindow = new SendWindow();
+  private final SendWindow sendWindow;
   private final BodyPipe responseBody;
 
-  OutboundStream(long id, PeerLink link, boolean idempotent) {
+  OutboundStream(long id, PeerLink link, boolean idempotent, Deadline deadline) {
     this.id = id;
     this.link = link;
     this.idempotent = idempotent;
+    this.sendWindow = new SendWindow(deadline);
     this.responseBody =
-        new BodyPipe(Integer.MAX_VALUE, bytes -> link.send(Frames.credit(id, bytes)));
+        new BodyPipe(Integer.MAX_VALUE, deadline, bytes -> link.send(Frames.credit(id, bytes)));
   }
 
   long id() {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -13,9 +13,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.Deadline;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
+import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.Hello;
 import org.amaranthmoor.protocol.node.Load;
@@ -45,8 +47,8 @@
      */
     void settleLost(PeerLink link, OutboundStream stream);
 
-    /** {@return the current time in monotonic nanoseconds} */
-    long nanos();
+    /** {@return the clock} */
+    TimeSource time();
 
     /** Counts a frame that belongs to no open stream or query. */
     void onLateFrame();
@@ -94,7 +96,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    lastReceivedNanos = owner.nanos();
+    lastReceivedNanos = owner.time().nanos();
     channel = Optional.of(context.channel());
     context.writeAndFlush(Frame.newBuilder().setHello(hello).build());
   }
@@ -110,7 +112,11 @@
       return Optional.empty();
     }
     OutboundStream stream =
-        new OutboundStream(nextId.incrementAndGet(), this, request.idempotent());
+        new OutboundStream(
+            nextId.incrementAndGet(),
+            this,
+            request.idempotent(),
+            new Deadline(request.deadlineNanos(), owner.time()));
     streams.put(stream.id(), stream);
     send(
         Frames.openCall(
@@ -192,7 +198,7 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-    lastReceivedNanos = owner.nanos();
+    lastReceivedNanos = owner.time().nanos();
     switch (frame.getBodyCase()) {
       case REFUSED -> {
         onLoad(frame.getRefused().getLoad());
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -324,8 +324,8 @@
     }
 
     @Override
-    public long nanos() {
-      return time.nanos();
+    public TimeSource time() {
+      return time;
     }
 
     @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -160,7 +160,7 @@
         return;
       }
       InboundStream stream =
-          new InboundStream(open.getStream(), channel, targetSide, request, handOver);
+          new InboundStream(open.getStream(), channel, targetSide, request, handOver, time);
       streams.put(open.getStream(), stream);
       executor.execute(() -> run(open.getStream(), stream));
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.HeaderField;
 import org.amaranthmoor.model.Outcome;
@@ -36,14 +37,20 @@
  * <p>Confined to one thread, except for aborting the connection. Invariants: the connection is
  * returned to the pool only after a complete response; {@code onNotice} receives the notice in a
  * response of the intended target before the response is passed on; {@code onDone} is called
- * exactly once, after the response was read or abandoned.
+ * exactly once, after the response was read or abandoned; the exchange does not hold the connection
+ * for longer than the deadline.
  */
 final class TargetExchange {
 
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
-  private static final long BODY_READ_TIMEOUT_NANOS = 30_000_000_000L;
+
+  /**
+   * Time after the deadline at which an exchange is aborted that a timeout of the socket has not
+   * ended, in nanoseconds.
+   */
+  private static final long ABORT_DELAY_NANOS = 60_000_000L;
 
   /** Maximum number of interim responses, with a status below 200, that are skipped. */
   private static final int MAX_INTERIM_RESPONSES = 16;
@@ -91,13 +98,17 @@
   private final TargetDialect dialect;
   private final TargetConnection connection;
   private final TargetConnectionPool pool;
+  private final DeadlineWatch deadlineWatch;
   private final TimeSource time;
   private final Consumer<TargetNotice> onNotice;
   private final Consumer<End> onDone;
   private OptionalDouble slowdown = OptionalDouble.empty();
   private int status;
   private boolean skippedResponse;
+  private boolean headReceived;
   private boolean done;
+  private Optional<DeadlineWatch.Watched> watched = Optional.empty();
+  private volatile boolean overdue;
 
   TargetExchange(
       InboundCall call,
@@ -105,6 +116,7 @@
       TargetDialect dialect,
       TargetConnection connection,
       TargetConnectionPool pool,
+      DeadlineWatch deadlineWatch,
       TimeSource time,
       Consumer<TargetNotice> onNotice,
       Consumer<End> onDone) {
@@ -113,6 +125,7 @@
     this.dialect = dialect;
     this.connection = connection;
     this.pool = pool;
+    this.deadlineWatch = deadlineWatch;
     this.time = time;
     this.onNotice = onNotice;
     this.onDone = onDone;
@@ -120,6 +133,10 @@
 
   /** Runs the exchange up to the head of the response, or to its end if the body is small. */
   Outcome<CallResponse> run() {
+    watched =
+        Optional.of(
+            deadlineWatch.watch(
+                call.request().deadlineNanos() + ABORT_DELAY_NANOS, this::abortOverdue));
     try {
       ClassicHttpRequest request = toHttp(call.request());
       send(request);
@@ -137,10 +154,24 @@
     }
   }
 
+  // The thread that works on the exchange notices that the connection was closed.
+  private void abortOverdue() {
+    overdue = true;
+    connection.abort();
+  }
+
   private Outcome<CallResponse> failed(Kind kind, ResultCode code, String detail) {
-    boolean cancelled = call.cancelled();
-    finish(false, cancelled ? Kind.CANCELLED : kind);
-    return new Outcome.Unknown<>(cancelled ? ResultCode.DEADLINE_AFTER_START : code, detail);
+    Kind end = endAs(headReceived ? kind : Kind.SILENT, kind);
+    finish(false, end);
+    boolean late = end == Kind.CANCELLED || end == Kind.SILENT;
+    return new Outcome.Unknown<>(late ? ResultCode.DEADLINE_AFTER_START : code, detail);
+  }
+
+  private Kind endAs(Kind ifOverdue, Kind otherwise) {
+    if (call.cancelled()) {
+      return Kind.CANCELLED;
+    }
+    return overdue ? ifOverdue : otherwise;
   }
 
   private void finish(boolean reusable, Kind kind) {
@@ -149,7 +180,8 @@
     }
     done = true;
     call.clearOnCancel();
-    if (reusable && !skippedResponse && !call.cancelled()) {
+    watched.ifPresent(DeadlineWatch.Watched::close);
+    if (reusable && !skippedResponse && !call.cancelled() && !overdue) {
       pool.release(connection);
     } else {
       connection.abort();
@@ -301,6 +333,7 @@
   private Outcome<CallResponse> readResponse(
       ClassicHttpRequest request, ClassicHttpResponse response) throws IOException {
     status = response.getCode();
+    headReceived = true;
     boolean keepAlive = keepsAlive(request, response);
     HttpEntity entity = response.getEntity();
     if (entity == null) {
@@ -355,12 +388,12 @@
   }
 
   private CallResponse.Body toStreamedBody(InputStream content, long length, boolean keepAlive) {
-    connection.setTimeoutNanos(BODY_READ_TIMEOUT_NANOS);
     InputStream body =
         new EndNotifyingBody(
             content,
             () -> finish(keepAlive, Kind.ANSWERED),
-            () -> finish(false, call.cancelled() ? Kind.CANCELLED : Kind.BROKEN));
+            // Whether the target or the reader of the response was too slow is not known.
+            () -> finish(false, endAs(Kind.CANCELLED, Kind.BROKEN)));
     return new CallResponse.Body.Streamed(body, length);
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -12,6 +12,7 @@
 import org.amaranthmoor.caller.CallHeaders;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.HeaderField;
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
@@ -58,6 +59,7 @@
   private final LocalTarget localTarget;
   private final TargetDialect dialect;
   private final TargetConnectionPool connections;
+  private final DeadlineWatch deadlineWatch;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
@@ -76,6 +78,7 @@
    * @param localTarget the target
    * @param dialect maps calls to the headers of the target
    * @param connections connections to the target
+   * @param deadlineWatch aborts exchanges that are overdue
    * @param quarantine refuses requests that must reach no target
    * @param crashListener is told which requests were in progress when the target crashed
    * @param metrics counts refusals and waiting times
@@ -89,6 +92,7 @@
       LocalTarget localTarget,
       TargetDialect dialect,
       TargetConnectionPool connections,
+      DeadlineWatch deadlineWatch,
       RequestQuarantine quarantine,
       CrashListener crashListener,
       NodeMetrics metrics,
@@ -100,6 +104,7 @@
     this.localTarget = localTarget;
     this.dialect = dialect;
     this.connections = connections;
+    this.deadlineWatch = deadlineWatch;
     this.metrics = metrics;
     this.time = time;
     this.log = log;
@@ -286,6 +291,7 @@
             dialect,
             connection,
             connections,
+            deadlineWatch,
             time,
             notice -> onNotice(destination.get(), notice, startNanos),
             end -> finish(waiter, handedOver, end));
