Drop states of members without a valid address

Here a state by gossip with a port of 70,000 was taken over; by reading, a datagram to that member throws, and so those after it are not sent, and a call that picks it ends without an answer.

Change: a state whose address is not an IP address and a port from 1 to 65,535 is dropped as it arrives, the others of the message hold. An IPv4 address with an octet above 255 is none, as it would be looked up as a name.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.SourceEpoch;
@@ -24,6 +25,7 @@
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.protocol.node.EvacuatedZonesState;
 import org.amaranthmoor.protocol.node.Gossip;
+import org.amaranthmoor.protocol.node.MemberState;
 
 /**
  * Sends and receives gossip over UDP.
@@ -138,7 +140,7 @@
       byte[] bytes = ByteBufUtil.getBytes(packet.content());
       metrics.addControlBytes(bytes.length);
       try {
-        Gossip gossip = Gossip.parseFrom(bytes);
+        Gossip gossip = withReachableAddresses(Gossip.parseFrom(bytes));
         send(membership.receive(gossip, time.nanos()));
         syncWithUnknown(gossip.getSender(), packet.sender());
         send(leaves.receive(gossip));
@@ -149,6 +151,25 @@
       }
     }
 
+    // Nothing can be sent to a member without a valid address, so that one odd state would make
+    // each
+    // message to it fail.
+    private static Gossip withReachableAddresses(Gossip gossip) {
+      if (gossip.getStatesList().stream().allMatch(Receiver::hasValidAddress)) {
+        return gossip;
+      }
+      List<MemberState> valid =
+          gossip.getStatesList().stream().filter(Receiver::hasValidAddress).toList();
+      return gossip.toBuilder().clearStates().addAllStates(valid).build();
+    }
+
+    // The state of an unreachable member has no address.
+    private static boolean hasValidAddress(MemberState state) {
+      return state.getHost().isEmpty()
+          ? state.getZone().isEmpty()
+          : Endpoint.parse(state.getHost() + ":" + state.getPort()).isPresent();
+    }
+
     private static PeerConfig peerConfig(Gossip gossip) {
       return new PeerConfig(
           gossip.getSender(),
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/settings/Endpoint.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/settings/Endpoint.java
@@ -15,8 +15,11 @@
  */
 public record Endpoint(String host, int port) {
 
+  // An address that is not one would be looked up as a name.
+  private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+
   private static final Pattern FORMAT =
-      Pattern.compile("((?:\\d{1,3}\\.){3}\\d{1,3}|\\[[0-9a-fA-F:]+\\]):(\\d{1,5})");
+      Pattern.compile("((?:" + OCTET + "\\.){3}" + OCTET + "|\\[[0-9a-fA-F:]+\\]):(\\d{1,5})");
   private static final int MAX_PORT = 65_535;
 
   /**
