Bound what odd epochs and long responses of the store can do

Change: an epoch from the node's record counts only up to the one that the store states, a repeated write always backs off, and a response is read up to 8 MiB.

Test: OddRecordEndToEndTests.anEpochThatTheStoreHasNotReachedIsNotWaitedFor; it passes before too, as the order of two reads decides whether the epoch is acted on. The bound of responses has no test.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
@@ -11,10 +11,10 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -51,6 +51,9 @@
               new RequestContent(), new RequestConnControl(), new RequestUserAgent("amaranthmoor"))
           .build();
 
+  /** Largest body of a response, in bytes. */
+  private static final int MAX_BODY_BYTES = 8 << 20;
+
   private final Endpoint endpoint;
   private final int timeoutMillis;
 
@@ -139,11 +142,7 @@
       HttpCoreContext context = HttpCoreContext.create();
       executor.preProcess(request, PROCESSOR, context);
       try (ClassicHttpResponse response = executor.execute(request, connection, context)) {
-        byte[] body =
-            response.getEntity() == null
-                ? new byte[0]
-                : EntityUtils.toByteArray(response.getEntity());
-        return new Reply(response.getCode(), body, response);
+        return new Reply(response.getCode(), readBody(response.getEntity()), response);
       }
     } catch (HttpException e) {
       throw new IOException("the response is not valid HTTP: " + e.getMessage(), e);
@@ -152,6 +151,17 @@
     }
   }
 
+  private static byte[] readBody(HttpEntity entity) throws IOException {
+    if (entity == null) {
+      return new byte[0];
+    }
+    byte[] body = entity.getContent().readNBytes(MAX_BODY_BYTES + 1);
+    if (body.length > MAX_BODY_BYTES) {
+      throw new IOException("the body of the response exceeds " + MAX_BODY_BYTES + " bytes");
+    }
+    return body;
+  }
+
   // Without keep-alive, a connection that is lost without a reset is detected only by the timeout
   // of
   // a long poll.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -183,9 +183,7 @@
   private void writeUntilStored() throws InterruptedException {
     Optional<String> failure = write();
     while ((failure.isPresent() || epochTracker.recordMayBeLost()) && !closed) {
-      if (failure.isPresent()) {
-        backOff("directory-unwritable", failure.get());
-      }
+      backOff("directory-unwritable", failure.orElse("written in an epoch that is not the newest"));
       if (closed) {
         return;
       }
@@ -344,7 +342,9 @@
       }
     }
     List<TargetRun> ownLeftRuns = own.map(InstanceDirectory::leftRunsOf).orElse(List.of());
-    historyKnown = own.map(this::isFromNewestEpoch).orElse(!epochTracker.hasRolledBack());
+    historyKnown =
+        own.map(record -> isFromNewestEpoch(record, all.epoch()))
+            .orElse(!epochTracker.hasRolledBack());
     boolean upToDate = historyKnown && own.map(this::hasCurrentAddressAndZone).orElse(false);
     if (upToDate) {
       epochTracker.onRecordStored(new SourceEpoch(own.get().getEpoch()));
@@ -356,9 +356,10 @@
 
   // A record of an earlier epoch may be older than a leave that was stored and then lost. A process
   // whose history is not complete writes no epoch, so that the next process does not rely on its
-  // record.
-  private boolean isFromNewestEpoch(InstanceRecord record) {
-    return new SourceEpoch(record.getEpoch()).compareTo(epochTracker.newest()) >= 0;
+  // record. An epoch that the source has not reached yet was written by somebody else.
+  private boolean isFromNewestEpoch(InstanceRecord record, SourceEpoch reached) {
+    SourceEpoch epoch = new SourceEpoch(record.getEpoch());
+    return epoch.compareTo(epochTracker.newest()) >= 0 && epoch.compareTo(reached) <= 0;
   }
 
   private Optional<InstanceRecord> parse(Map.Entry<String, byte[]> entry) {
