Name each response that is cut off, and count connections as busy from the request on

- a failure that nobody expects closed the connection of the caller, or left the entry side without an outcome.
It is now an answer of its own (NODE_FAILED, 209, 502) and a line call-failed with the id;
- a planned stop ended as soon as no call was counted, and a request was counted from its handler on: one whose head had been read, or whose bytes waited while the processor was busy, was cut.
Connections now count as busy from the moment that a request can be read until its response is written.

response-cut-off names the id, the status, the time left and the reason for buffered responses as well.

HttpListenerTests.BusyConnections; PlannedStopTests and LateCallDuringStopTests pass.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/model/ResultCode.java
@@ -72,6 +72,8 @@
   KEY_RAN_UNKNOWN(207, Kind.UNKNOWN, 409, false),
   /** The target sent an answer that belongs to another request. */
   ANSWER_FOREIGN(208, Kind.UNKNOWN, 502, true),
+  /** The node failed by itself while it served the request. */
+  NODE_FAILED(209, Kind.UNKNOWN, 502, true),
   /** An earlier request with this key was answered; the answer is no longer stored. */
   KEY_ALREADY_ANSWERED(301, Kind.ANSWERED, 409, false),
   /** No rule matches the request's path and host. */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -522,7 +522,7 @@
   }
 
   private int inProgress() {
-    return targetSide.inProgress() + callerHandler.callsInProgress();
+    return targetSide.inProgress() + callerListener.busyConnections();
   }
 
   /** {@return the status of the system as this node sees it; blocks for about a second at most} */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -5,7 +5,6 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.FirstAttemptEstimator;
 import org.amaranthmoor.caller.RetryAfter;
@@ -46,7 +45,6 @@
   private final DeadlineWatch deadlineWatch;
   private final TimeSource time;
   private final EventLog log;
-  private final AtomicInteger callsInProgress = new AtomicInteger();
   private volatile boolean closingConnections;
   private volatile boolean refusingNewCalls;
 
@@ -94,27 +92,17 @@
     refusingNewCalls = true;
   }
 
-  /** {@return the number of calls in progress} */
-  public int callsInProgress() {
-    return callsInProgress.get();
-  }
-
   @Override
   public void handle(ClassicHttpRequest http, ResponseTrigger trigger, HttpContext context)
       throws HttpException, IOException {
-    callsInProgress.incrementAndGet();
-    try {
-      Optional<RoutingSnapshot> snapshot = snapshots.current();
-      if (snapshot.isEmpty() || refusingNewCalls) {
-        String detail = refusingNewCalls ? "the node is stopping" : "no configuration yet";
-        submitAndClose(
-            trigger, dialect.notRunResponse(new Outcome.NotRun<>(ResultCode.NOT_READY, 0, detail)));
-        return;
-      }
-      routeAndServe(http, trigger, context, snapshot.get());
-    } finally {
-      callsInProgress.decrementAndGet();
+    Optional<RoutingSnapshot> snapshot = snapshots.current();
+    if (snapshot.isEmpty() || refusingNewCalls) {
+      String detail = refusingNewCalls ? "the node is stopping" : "no configuration yet";
+      submitAndClose(
+          trigger, dialect.notRunResponse(new Outcome.NotRun<>(ResultCode.NOT_READY, 0, detail)));
+      return;
     }
+    routeAndServe(http, trigger, context, snapshot.get());
   }
 
   private static void submitAndClose(ResponseTrigger trigger, ClassicHttpResponse response)
@@ -152,7 +140,7 @@
       CallRequest request, ClassicHttpRequest http, ResponseTrigger trigger, HttpContext context)
       throws HttpException, IOException {
     HttpCallerConnection caller = new HttpCallerConnection(http, context);
-    EntrySide.CallResult result = entrySide.serve(request, caller);
+    EntrySide.CallResult result = serveOrFail(request, caller);
     if (!result.isSuccess()) {
       firstAttemptEstimator.onNotServed(request.rule(), time.nanos());
     }
@@ -171,6 +159,20 @@
     submit(trigger, response, result.outcome(), request, caller);
   }
 
+  // A caller whose connection was closed instead could not tell whether its request was read.
+  private EntrySide.CallResult serveOrFail(CallRequest request, HttpCallerConnection caller) {
+    try {
+      return entrySide.serve(request, caller);
+    } catch (RuntimeException e) {
+      log.warn(
+          "call-failed", () -> "id=" + request.id() + " error=" + EventLog.quote(e.toString()));
+      return new EntrySide.CallResult(
+          new Outcome.Unknown<>(ResultCode.NODE_FAILED, "the node failed to serve the request"),
+          Optional.empty(),
+          "");
+    }
+  }
+
   private Outcome.NotRun<CallResponse> withRetryDelay(
       Outcome.NotRun<CallResponse> notRun, CallRequest request) {
     OptionalDouble maxDelayShare = dialect.maxRetryDelayShare();
@@ -197,6 +199,7 @@
         : 0;
   }
 
+  // A response that fails midway is cut off visibly, so that the caller does not take it for whole.
   private void submit(
       ResponseTrigger trigger,
       ClassicHttpResponse response,
@@ -204,36 +207,34 @@
       CallRequest request,
       HttpCallerConnection caller)
       throws HttpException, IOException {
-    if (outcome instanceof Outcome.Answered<CallResponse> answered
-        && answered.response().body() instanceof CallResponse.Body.Streamed streamed) {
-      submitStreamed(trigger, response, streamed, request, caller);
-      return;
-    }
-    trigger.submitResponse(response);
-  }
-
-  // A response whose body fails is cut off visibly, so that the caller does not take it for whole.
-  private void submitStreamed(
-      ResponseTrigger trigger,
-      ClassicHttpResponse response,
-      CallResponse.Body.Streamed body,
-      CallRequest request,
-      HttpCallerConnection caller)
-      throws HttpException, IOException {
-    DeadlineWatch.Watched watched =
-        deadlineWatch.watch(request.deadlineNanos() + RESET_DELAY_NANOS, caller::reset);
+    boolean streamed =
+        outcome instanceof Outcome.Answered<CallResponse> answered
+            && answered.response().body() instanceof CallResponse.Body.Streamed;
+    Optional<DeadlineWatch.Watched> watched =
+        streamed
+            ? Optional.of(
+                deadlineWatch.watch(request.deadlineNanos() + RESET_DELAY_NANOS, caller::reset))
+            : Optional.empty();
     try {
       trigger.submitResponse(response);
-    } catch (IOException | HttpException e) {
-      logCutOff(request, watched.close(), e);
+    } catch (IOException | HttpException | RuntimeException e) {
+      boolean reset = watched.isPresent() && !watched.get().close();
+      logCutOff(request, response.getCode(), reset, e);
       throw e;
     } finally {
-      watched.close();
-      body.stream().close();
+      watched.ifPresent(DeadlineWatch.Watched::close);
+      closeBody(outcome);
+    }
+  }
+
+  private static void closeBody(Outcome<CallResponse> outcome) throws IOException {
+    if (outcome instanceof Outcome.Answered<CallResponse> answered
+        && answered.response().body() instanceof CallResponse.Body.Streamed streamed) {
+      streamed.stream().close();
     }
   }
 
-  private void logCutOff(CallRequest request, boolean inTime, Exception cause) {
+  private void logCutOff(CallRequest request, int status, boolean reset, Exception cause) {
     long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - time.nanos());
     log.requestFailed(
         "response-cut-off",
@@ -242,10 +243,12 @@
                 + request.id()
                 + " rule="
                 + request.rule()
+                + " status="
+                + status
                 + " left-ms="
                 + leftMillis
                 + " reset-at-deadline="
-                + !inTime
+                + reset
                 + " error="
                 + EventLog.quote(cause.toString()));
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
@@ -15,6 +15,7 @@
 import org.amaranthmoor.daemon.target.InboundCall;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.target.HandOver;
 
@@ -44,8 +45,14 @@
   }
 
   private void run(TargetSide targetSide) {
-    outcome.complete(targetSide.run(call));
-    body.close();
+    try {
+      outcome.complete(targetSide.run(call));
+    } finally {
+      // An unexpected failure must not leave the caller without an outcome.
+      outcome.complete(
+          new Outcome.Unknown<>(ResultCode.NODE_FAILED, "the target side failed unexpectedly"));
+      body.close();
+    }
   }
 
   @Override
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -53,7 +53,7 @@
   private final Thread acceptor;
   private final HttpService service;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-  private final Set<DefaultBHttpServerConnection> connections = ConcurrentHashMap.newKeySet();
+  private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean closed;
 
   /**
@@ -120,6 +120,16 @@
     return serverSocket.getLocalPort();
   }
 
+  /**
+   * Returns the number of connections that must not be closed if no request is to be lost.
+   *
+   * @return the number of connections on which a request has been received and its response not
+   *     been sent, or on which bytes wait to be read
+   */
+  public int busyConnections() {
+    return (int) connections.stream().filter(ServerConnection::isBusy).count();
+  }
+
   private void acceptConnections() {
     while (!closed) {
       try {
@@ -158,7 +168,7 @@
   }
 
   private void serve(Socket socket) {
-    DefaultBHttpServerConnection connection = new ServerConnection(CONFIG);
+    ServerConnection connection = new ServerConnection(CONFIG);
     connections.add(connection);
     try {
       socket.setTcpNoDelay(true);
@@ -168,6 +178,7 @@
         HttpCoreContext context = HttpCoreContext.create();
         context.setAttribute(CONNECTION_ATTRIBUTE, connection);
         service.handleRequest(connection, context);
+        connection.onExchangeEnd();
       }
     } catch (ConnectionClosedException | SocketException | java.net.SocketTimeoutException e) {
       // The client closed the connection or was idle for too long.
@@ -179,6 +190,7 @@
       connection.close(CloseMode.IMMEDIATE);
     } finally {
       connection.close(CloseMode.GRACEFUL);
+      connection.onExchangeEnd();
       connections.remove(connection);
     }
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.Socket;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -13,10 +16,13 @@
  * A connection from an HTTP client, on which neither a request that is cut off nor a response whose
  * body fails ever appears complete.
  *
- * <p>Used by one thread at a time, except for closing it.
+ * <p>Used by one thread at a time, except for closing it and for {@link #isBusy}.
  */
 final class ServerConnection extends DefaultBHttpServerConnection {
 
+  private volatile Optional<Socket> socket = Optional.empty();
+  private volatile boolean inExchange;
+
   ServerConnection(Http1Config config) {
     super(
         "http",
@@ -30,6 +36,36 @@
         null);
   }
 
+  @Override
+  public void bind(Socket bound) throws IOException {
+    socket = Optional.of(bound);
+    super.bind(bound);
+  }
+
+  @Override
+  protected void onRequestReceived(ClassicHttpRequest request) {
+    inExchange = true;
+  }
+
+  /** Records that the response to the last request has been sent. */
+  void onExchangeEnd() {
+    inExchange = false;
+  }
+
+  /**
+   * {@return whether a request has been received whose response has not been sent, or bytes wait to
+   * be read}
+   */
+  boolean isBusy() {
+    try {
+      return inExchange
+          || (isOpen() && socket.isPresent() && socket.get().getInputStream().available() > 0);
+    } catch (IOException e) {
+      // The connection was closed meanwhile.
+      return inExchange;
+    }
+  }
+
   @Override
   public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
     if (response.getEntity() != null) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -832,7 +832,7 @@
   }
 
   private int inProgress() {
-    return targetSide.inProgress() + callerHandler.callsInProgress();
+    return targetSide.inProgress() + callerListener.busyConnections();
   }
 
   /** Closes at once, as if the process were killed; does nothing if the node has stopped. */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -69,9 +69,7 @@
 
   /** Runs the request and sends its response. */
   void run() {
-    Outcome<CallResponse> outcome = targetSide.run(call);
-    requestBody.close();
-    switch (outcome) {
+    switch (runCall()) {
       case Outcome.NotRun<CallResponse> notRun ->
           send(Frames.refused(id, notRun, targetSide.status()));
       case Outcome.Unknown<CallResponse> unknown ->
@@ -80,6 +78,21 @@
     }
   }
 
+  // An unexpected failure must not leave the entry side without an outcome.
+  private Outcome<CallResponse> runCall() {
+    boolean ended = false;
+    try {
+      Outcome<CallResponse> outcome = targetSide.run(call);
+      ended = true;
+      return outcome;
+    } finally {
+      requestBody.close();
+      if (!ended) {
+        fail("the target side failed unexpectedly");
+      }
+    }
+  }
+
   private void sendResponse(CallResponse response) {
     send(Frames.responseHead(id, response, targetSide.status()));
     if (response.body() instanceof CallResponse.Body.Streamed streamed) {
