Keep a link open whatever data that compresses well arrives on it

Cause: the decompressing handler was given 64 KiB as the most that one read may decompress to, and threw beyond it. The exception closed the link, without a line, with every request on it. Three data frames that arrive together are enough, so that uploads between zones failed in the same way.

Change: a handler of our own passes decompressed bytes on in pieces of 32 KiB at most, so that memory is bounded by the piece and by the length of a frame, not by the ratio of the data. The bytes on the wire are the same. A link that closes itself because of a failure says so (link-failed, amaranthmoor_link_failures_total).

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -169,6 +169,7 @@
             quarantine,
             metrics,
             time,
+            log,
             node -> false);
     NodeQueryHandler queries =
         new NodeQueryHandler(settings, identity, stateHolder, ownership, targetSide, views, time);
@@ -227,7 +228,8 @@
             identity,
             executor,
             metrics,
-            time);
+            time,
+            log);
     this.gossip =
         new GossipSocket(
             settings.host(),
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -242,6 +242,7 @@
             quarantine,
             metrics,
             time,
+            log,
             this::isInOtherZone);
     this.shedder = new LoadShedder(time.nanos());
     TimedExecutor timed =
@@ -304,7 +305,8 @@
             identity,
             timed,
             metrics,
-            time);
+            time,
+            log);
     this.gossip =
         new GossipSocket(
             settings.nodeEndpoint().host(),
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -40,6 +40,10 @@
       Counter.builder("amaranthmoor.late.frames")
           .description("Frames that belonged to no request and were dropped")
           .register(registry);
+  private final Counter linkFailures =
+      Counter.builder("amaranthmoor.link.failures")
+          .description("Links between nodes that closed themselves because of a failure")
+          .register(registry);
   private final Counter controlBytes =
       Counter.builder("amaranthmoor.control.bytes")
           .description("Bytes of gossip, probes, leases and state, sent and received")
@@ -127,6 +131,11 @@
     lateFrames.increment();
   }
 
+  /** Counts a link between nodes that closed itself because of a failure. */
+  public void countLinkFailure() {
+    linkFailures.increment();
+  }
+
   /**
    * Counts bytes of control traffic, sent or received.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/LinkCompression.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/LinkCompression.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.ByteToMessageDecoder;
-import io.netty.handler.codec.compression.JdkZlibDecoder;
 import io.netty.handler.codec.compression.JdkZlibEncoder;
 import io.netty.handler.codec.compression.ZlibWrapper;
 import java.util.List;
@@ -25,9 +24,6 @@
   /** Fastest level of zlib, because most of the gain comes from repeated text. */
   private static final int ZLIB_LEVEL = 1;
 
-  /** Maximum number of bytes that are decompressed at once. */
-  private static final int MAX_DECOMPRESSED_BYTES = 64 * 1024;
-
   /** Length of the marker, in bytes: that of a frame's length prefix. */
   private static final int MARKER_BYTES = 4;
 
@@ -66,7 +62,6 @@
     ChannelPipeline pipeline = context.pipeline();
     String after = context.name();
     pipeline.addAfter(after, "compress", new JdkZlibEncoder(ZlibWrapper.NONE, ZLIB_LEVEL));
-    pipeline.addAfter(
-        after, "decompress", new JdkZlibDecoder(ZlibWrapper.NONE, MAX_DECOMPRESSED_BYTES));
+    pipeline.addAfter(after, "decompress", new InflatingHandler());
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -50,6 +50,9 @@
     /** {@return the clock} */
     TimeSource time();
 
+    /** Records that the link closes itself because of a failure. */
+    void onFailure(PeerAddress address, int openStreams, Throwable cause);
+
     /** Counts a frame that belongs to no open stream or query. */
     void onLateFrame();
 
@@ -305,6 +308,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    owner.onFailure(address, streams.size(), cause);
     context.close();
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -21,6 +21,7 @@
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.Exchange;
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
+import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.NodeName;
@@ -78,6 +79,7 @@
   private final RequestQuarantine quarantine;
   private final NodeMetrics metrics;
   private final TimeSource time;
+  private final EventLog log;
   private final Predicate<NodeName> isInOtherZone;
   private final Map<PeerAddress, PeerLink> links = new ConcurrentHashMap<>();
   private final Map<PeerAddress, ReentrantLock> locks = new ConcurrentHashMap<>();
@@ -96,6 +98,7 @@
    * @param quarantine provides the suspicion that a request carries
    * @param metrics counts control bytes and late frames
    * @param time the clock
+   * @param log receives failures of links
    * @param isInOtherZone whether a node is in another availability zone, so that its link is
    *     compressed
    */
@@ -108,6 +111,7 @@
       RequestQuarantine quarantine,
       NodeMetrics metrics,
       TimeSource time,
+      EventLog log,
       Predicate<NodeName> isInOtherZone) {
     this.identity = identity;
     this.group = group;
@@ -117,6 +121,7 @@
     this.quarantine = quarantine;
     this.metrics = metrics;
     this.time = time;
+    this.log = log;
     this.isInOtherZone = isInOtherZone;
   }
 
@@ -328,6 +333,20 @@
       return time;
     }
 
+    @Override
+    public void onFailure(PeerAddress address, int openStreams, Throwable cause) {
+      metrics.countLinkFailure();
+      log.warn(
+          "link-failed",
+          () ->
+              "peer="
+                  + address.node()
+                  + " requests="
+                  + openStreams
+                  + " error="
+                  + EventLog.quote(cause.toString()));
+    }
+
     @Override
     public void onLateFrame() {
       metrics.countLateFrame();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import org.amaranthmoor.daemon.exchange.CallRequest;
+import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Names;
@@ -44,6 +45,7 @@
   private final Executor executor;
   private final NodeMetrics metrics;
   private final TimeSource time;
+  private final EventLog log;
   private final Channel serverChannel;
 
   /**
@@ -60,6 +62,7 @@
    * @param executor runs each request on a virtual thread
    * @param metrics counts control bytes and late frames
    * @param time the clock
+   * @param log receives failures of links
    */
   public PeerServer(
       String host,
@@ -72,7 +75,8 @@
       NodeIdentity identity,
       Executor executor,
       NodeMetrics metrics,
-      TimeSource time) {
+      TimeSource time,
+      EventLog log) {
     this.targetSide = targetSide;
     this.ledger = ledger;
     this.queries = queries;
@@ -81,6 +85,7 @@
     this.executor = executor;
     this.metrics = metrics;
     this.time = time;
+    this.log = log;
     this.serverChannel =
         new ServerBootstrap()
             .group(group)
@@ -220,6 +225,16 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      metrics.countLinkFailure();
+      log.warn(
+          "link-failed",
+          () ->
+              "peer="
+                  + id.map(ConnectionId::entry).map(EventLog::quote).orElse("unknown")
+                  + " requests="
+                  + streams.size()
+                  + " error="
+                  + EventLog.quote(cause.toString()));
       context.close();
     }
   }
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -37,6 +38,38 @@
     return Frame.newBuilder().setOpenCall(open).build();
   }
 
+  /** Guards against a link that fails because honest data compresses well. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 40})
+  void decodesLargeFramesThatCompressWellAndArriveTogether(int frames) {
+    EmbeddedChannel entry = channel(new LinkCompression.Initiator());
+    EmbeddedChannel target = channel(new LinkCompression.Detector());
+    Frame frame = Frames.data(1, new byte[Frames.MAX_DATA_BYTES], false);
+    ByteBuf together = Unpooled.buffer();
+    for (int i = 0; i < frames; i++) {
+      entry.writeOutbound(frame);
+    }
+    ByteBuf encoded = entry.readOutbound();
+    while (encoded != null) {
+      together.writeBytes(encoded);
+      encoded.release();
+      encoded = entry.readOutbound();
+    }
+
+    target.writeInbound(together);
+
+    for (int i = 0; i < frames; i++) {
+      assertEquals(frame, target.readInbound());
+    }
+    entry.finishAndReleaseAll();
+    target.finishAndReleaseAll();
+  }
+
+  private static EmbeddedChannel channel(ChannelHandler compression) {
+    return new EmbeddedChannel(
+        new FrameChannelInitializer(() -> compression, ChannelInboundHandlerAdapter::new));
+  }
+
   // Sends the requests from one channel to the other and returns the number of bytes transferred.
   private int transfer(ChannelHandler compression) {
     EmbeddedChannel entry =
