Use a new link only once it is active, and do not flush a closed connection

Cause: the future of a connect completes before the handlers of the channel are told. The first request over a new link often found it not usable and was refused (NODE_UNREACHABLE after 2 ms in the log of LongBodyEndToEndTests), although the node could be reached.

Change: opening a link waits for channelActive as well, and a closed connection is not flushed.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -66,6 +66,15 @@
     }
   }
 
+  // HttpCore flushes after each response, also if it has just closed the connection, which sends
+  // the response.
+  @Override
+  public void flush() throws IOException {
+    if (isOpen()) {
+      super.flush();
+    }
+  }
+
   @Override
   public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
     if (response.getEntity() != null) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -70,6 +72,7 @@
   private final Map<Long, CompletableFuture<Frame>> queries = new ConcurrentHashMap<>();
   // The pieces of state replies that have arrived so far, concatenated, by query.
   private final Map<Long, ByteString> partialStateReplies = new ConcurrentHashMap<>();
+  private final CountDownLatch active = new CountDownLatch(1);
   private volatile Optional<Channel> channel = Optional.empty();
   private volatile long lastReceivedNanos;
   private volatile long probeSentNanos = NO_PROBE;
@@ -102,6 +105,17 @@
     lastReceivedNanos = owner.time().nanos();
     channel = Optional.of(context.channel());
     context.writeAndFlush(Frame.newBuilder().setHello(hello).build());
+    active.countDown();
+  }
+
+  /**
+   * Waits until the link can be used: the connect future completes before the handlers of the
+   * channel have been told.
+   *
+   * @return whether the link became active in time
+   */
+  boolean awaitActive(long millis) throws InterruptedException {
+    return active.await(millis, TimeUnit.MILLISECONDS);
   }
 
   /** Opens a stream; returns empty, and sends nothing, if the link is not connected. */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -241,12 +241,16 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(new FrameChannelInitializer(() -> compression(address), () -> link))
             .connect(address.host(), address.port());
+    boolean active = false;
     try {
-      connected.await(CONNECT_TIMEOUT_MILLIS);
+      active =
+          connected.await(CONNECT_TIMEOUT_MILLIS)
+              && connected.isSuccess()
+              && link.awaitActive(CONNECT_TIMEOUT_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    if (!connected.isSuccess()) {
+    if (!active) {
       var unused = connected.channel().close();
       return Optional.empty();
     }
