Count a long answer with a stated length as an answer

Cause: a reader stops at the stated length and does not ask for the end, so that the body was closed before its end was seen. An upload that its caller did not complete counted as a failure of the target as well.

Change: a body of known length ends with its last byte, and a caller's body that fails ends the exchange as cancelled.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/EndNotifyingBody.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/EndNotifyingBody.java
@@ -6,7 +6,8 @@
 
 /**
  * A body stream that runs one of two callbacks once: when its end is reached, or when it is closed
- * before that.
+ * before that. A body whose length is known ends with its last byte, as a reader need not ask for
+ * more.
  *
  * <p>Not thread-safe; used by one thread at a time.
  */
@@ -14,17 +15,22 @@
 
   private final Runnable onEnd;
   private final Runnable onEarlyClose;
+  private final boolean lengthKnown;
+  private long left;
   private boolean notified;
 
   /**
    * Wraps a body.
    *
    * @param body the body
+   * @param length length of the body in bytes, or negative if it is not known
    * @param onEnd run when the end of the body is reached
    * @param onEarlyClose run when the body is closed before its end
    */
-  public EndNotifyingBody(InputStream body, Runnable onEnd, Runnable onEarlyClose) {
+  public EndNotifyingBody(InputStream body, long length, Runnable onEnd, Runnable onEarlyClose) {
     super(body);
+    this.lengthKnown = length >= 0;
+    this.left = length;
     this.onEnd = onEnd;
     this.onEarlyClose = onEarlyClose;
   }
@@ -38,7 +44,8 @@
   @Override
   public int read(byte[] buffer, int offset, int length) throws IOException {
     int count = in.read(buffer, offset, length);
-    if (count < 0) {
+    left -= Math.max(0, count);
+    if (count < 0 || (lengthKnown && left <= 0)) {
       notifyOnce(onEnd);
     }
     return count;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -113,7 +113,8 @@
       complete(new Outcome.Answered<>(Frames.toResponse(head, buffered)));
       return;
     }
-    EndNotifyingBody body = new EndNotifyingBody(responseBody, () -> {}, this::cancel);
+    EndNotifyingBody body =
+        new EndNotifyingBody(responseBody, head.getBodyLength(), () -> {}, this::cancel);
     CallResponse.Body streamed = new CallResponse.Body.Streamed(body, head.getBodyLength());
     complete(new Outcome.Answered<>(Frames.toResponse(head, streamed)));
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -1,6 +1,7 @@
 package org.amaranthmoor.daemon.target;
 
 import java.io.ByteArrayInputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.SequenceInputStream;
@@ -106,6 +107,7 @@
   private int status;
   private boolean skippedResponse;
   private boolean headReceived;
+  private boolean callerBodyFailed;
   private boolean done;
   private Optional<DeadlineWatch.Watched> watched = Optional.empty();
   private volatile boolean overdue;
@@ -168,7 +170,7 @@
   }
 
   private Kind endAs(Kind ifOverdue, Kind otherwise) {
-    if (call.cancelled()) {
+    if (call.cancelled() || callerBodyFailed) {
       return Kind.CANCELLED;
     }
     return overdue ? ifOverdue : otherwise;
@@ -216,7 +218,7 @@
     if (request.bodyComplete()) {
       length = request.bodyPrefix().length;
     } else {
-      body = new SequenceInputStream(body, call.remainingBody());
+      body = new SequenceInputStream(body, new CallerBody(call.remainingBody()));
     }
     boolean chunked = length < 0;
     http.setEntity(new InputStreamEntity(body, length, null));
@@ -391,12 +393,37 @@
     InputStream body =
         new EndNotifyingBody(
             content,
+            length,
             () -> finish(keepAlive, Kind.ANSWERED),
             // Whether the target or the reader of the response was too slow is not known.
             () -> finish(false, endAs(Kind.CANCELLED, Kind.BROKEN)));
     return new CallResponse.Body.Streamed(body, length);
   }
 
+  // A body that the caller does not complete is no failure of the target.
+  private final class CallerBody extends FilterInputStream {
+
+    CallerBody(InputStream body) {
+      super(body);
+    }
+
+    @Override
+    public int read() throws IOException {
+      byte[] one = new byte[1];
+      return read(one, 0, 1) < 0 ? -1 : one[0] & 0xFF;
+    }
+
+    @Override
+    public int read(byte[] buffer, int offset, int length) throws IOException {
+      try {
+        return in.read(buffer, offset, length);
+      } catch (IOException e) {
+        callerBodyFailed = true;
+        throw e;
+      }
+    }
+  }
+
   private static List<HeaderField> headers(ClassicHttpResponse response) {
     List<HeaderField> headers = new ArrayList<>();
     for (Header header : response.getHeaders()) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -409,7 +409,10 @@
         response.body() instanceof CallResponse.Body.Streamed streamed
             ? new CallResponse.Body.Streamed(
                 new EndNotifyingBody(
-                    streamed.stream(), inProgress::decrementAndGet, inProgress::decrementAndGet),
+                    streamed.stream(),
+                    streamed.length(),
+                    inProgress::decrementAndGet,
+                    inProgress::decrementAndGet),
                 streamed.length())
             : response.body();
     return new Outcome.Answered<>(
