End an upload at its deadline, whoever stopped reading or sending it

Cause: the loop that sends an upload checked neither the deadline nor the caller; a write to a server has no time limit; a caller that sent no more was waited for up to two minutes.

Change: before each part the entry side waits for room in short steps, in which it looks at the deadline and the caller, and stops as soon as there is an outcome; a part that the caller does not send is waited for until the deadline.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -12,6 +12,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.DeadlineWatch;
+import org.amaranthmoor.daemon.http.DrainedEntity;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.Outcome;
@@ -29,6 +30,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
 
 /**
  * Handles callers' HTTP requests: routes them, serves them by the entry side, and responds.
@@ -156,6 +158,9 @@
       // The unread rest of the body would be parsed as the next request on this connection.
       response.setHeader("Connection", "close");
     }
+    if (!caller.bodyEnded(request)) {
+      caller.limitDrain();
+    }
     submit(trigger, response, result.outcome(), request, caller);
   }
 
@@ -294,27 +299,52 @@
     }
 
     @Override
-    public int readBody(byte[] buffer) throws IOException {
+    public int readBody(byte[] buffer, long maxNanos) throws IOException {
+      if (connection().isEmpty()) {
+        return readBody(buffer);
+      }
+      DefaultBHttpServerConnection open = connection().get();
+      Timeout idleTimeout = open.getSocketTimeout();
+      open.setSocketTimeout(
+          Timeout.ofMilliseconds(Math.max(1, TimeUnit.NANOSECONDS.toMillis(maxNanos))));
+      try {
+        return readBody(buffer);
+      } finally {
+        open.setSocketTimeout(idleTimeout);
+      }
+    }
+
+    private int readBody(byte[] buffer) throws IOException {
       int count = http.getEntity().getContent().read(buffer);
       bodyEnded = bodyEnded || count < 0;
       return count;
     }
 
+    private Optional<DefaultBHttpServerConnection> connection() {
+      return context.getAttribute(HttpListener.CONNECTION_ATTRIBUTE)
+              instanceof DefaultBHttpServerConnection open
+          ? Optional.of(open)
+          : Optional.empty();
+    }
+
     @Override
     public boolean isClosed() {
-      Object connection = context.getAttribute(HttpListener.CONNECTION_ATTRIBUTE);
+      Optional<DefaultBHttpServerConnection> open = connection();
       try {
-        return connection instanceof DefaultBHttpServerConnection open && open.isStale();
+        return open.isPresent() && open.get().isStale();
       } catch (IOException e) {
         return true;
       }
     }
 
+    // The response is not lost by a reset while the caller still sends, and a caller that never
+    // stops does not keep the connection.
+    void limitDrain() {
+      connection().ifPresent(open -> http.setEntity(new DrainedEntity(http.getEntity(), open)));
+    }
+
     void reset() {
-      if (context.getAttribute(HttpListener.CONNECTION_ATTRIBUTE)
-          instanceof DefaultBHttpServerConnection open) {
-        open.close(CloseMode.IMMEDIATE);
-      }
+      connection().ifPresent(open -> open.close(CloseMode.IMMEDIATE));
     }
 
     boolean bodyEnded(CallRequest request) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -55,7 +55,6 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final long PERCENT = 100;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
-  private static final int BODY_CHUNK_BYTES = 32 * 1024;
 
   private final ZoneName ownZone;
   private final RoutingSnapshots snapshots;
@@ -428,10 +427,8 @@
         return awaitOutcome(exchange, caller);
       } catch (IOException e) {
         callerLeft = true;
-        exchange.cancel();
-        return unknown(
-            ResultCode.DEADLINE_AFTER_START,
-            "the connection to the caller failed before the body was complete");
+        return abandon(
+            exchange, "the body did not arrive in time, or the connection to the caller failed");
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         exchange.cancel();
@@ -446,20 +443,36 @@
       if (exchange.await(0).isPresent()) {
         return;
       }
-      byte[] buffer = new byte[BODY_CHUNK_BYTES];
+      byte[] buffer = new byte[Exchange.MAX_SEND_BYTES];
       boolean open = true;
-      while (open) {
+      while (open && awaitRoom(exchange, caller)) {
         callerBodyRead = true;
-        int count = caller.readBody(buffer);
+        int count = caller.readBody(buffer, nanosLeft());
         boolean last = count < 0;
         open = exchange.send(Arrays.copyOf(buffer, Math.max(0, count)), last) && !last;
       }
     }
 
+    // Returns whether more of the body is to be sent: not after the deadline, and not once there is
+    // an outcome, such as an answer to the part that was sent.
+    private boolean awaitRoom(Exchange exchange, CallerConnection caller)
+        throws InterruptedException {
+      while (!exchange.awaitRoom(Math.clamp(nanosLeft(), 0, CALLER_POLL_INTERVAL_NANOS))) {
+        if (nanosLeft() <= 0 || caller.isClosed()) {
+          return false;
+        }
+      }
+      return nanosLeft() > 0 && exchange.await(0).isEmpty();
+    }
+
+    private long nanosLeft() {
+      return withLimitedDeadline(request).deadlineNanos() - time.nanos();
+    }
+
     private Outcome<CallResponse> awaitOutcome(Exchange exchange, CallerConnection caller)
         throws InterruptedException {
       while (true) {
-        long nanosLeft = withLimitedDeadline(request).deadlineNanos() - time.nanos();
+        long nanosLeft = nanosLeft();
         Optional<Outcome<CallResponse>> outcome =
             exchange.await(
                 Math.clamp(nanosLeft + OUTCOME_GRACE_NANOS, 0, CALLER_POLL_INTERVAL_NANOS));
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
@@ -67,6 +67,11 @@
     }
   }
 
+  @Override
+  public boolean awaitRoom(long nanos) throws InterruptedException {
+    return body.awaitRoom(nanos);
+  }
+
   @Override
   public boolean send(byte[] bytes, boolean last) throws InterruptedException {
     boolean accepted = bytes.length == 0 || body.write(bytes);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
@@ -71,7 +71,7 @@
   public boolean write(byte[] bytes) throws InterruptedException {
     lock.lockInterruptibly();
     try {
-      while (bufferedBytes >= capacityBytes && !closed && failure.isEmpty()) {
+      while (isFull()) {
         if (deadline.hasPassed()) {
           return false;
         }
@@ -87,6 +87,30 @@
     }
   }
 
+  /**
+   * Waits until {@link #write} does not block.
+   *
+   * @param nanos maximum time to wait, in nanoseconds
+   * @return whether there is room, or the pipe has been closed or has failed
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public boolean awaitRoom(long nanos) throws InterruptedException {
+    lock.lockInterruptibly();
+    try {
+      long leftNanos = nanos;
+      while (isFull() && leftNanos > 0) {
+        leftNanos = changed.awaitNanos(leftNanos);
+      }
+      return !isFull();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private boolean isFull() {
+    return bufferedBytes >= capacityBytes && !closed && failure.isEmpty();
+  }
+
   private void add(byte[] bytes) {
     if (bytes.length > 0 && !closed) {
       chunks.addLast(bytes);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/Exchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/Exchange.java
@@ -19,6 +19,15 @@
    */
   Optional<Outcome<CallResponse>> await(long nanos) throws InterruptedException;
 
+  /**
+   * Waits until the receiver has room for more of the request's body.
+   *
+   * @param nanos maximum time to wait, in nanoseconds
+   * @return whether {@link #send} does not block; true as well once the exchange has ended
+   * @throws InterruptedException if the thread is interrupted
+   */
+  boolean awaitRoom(long nanos) throws InterruptedException;
+
   /**
    * Sends more of the request's body, blocking while the receiver has no room.
    *
@@ -29,6 +38,9 @@
    */
   boolean send(byte[] bytes, boolean last) throws InterruptedException;
 
+  /** Largest number of bytes that {@link #send} accepts without blocking if there is room. */
+  int MAX_SEND_BYTES = 32 * 1024;
+
   /** Cancels the exchange; a request that was not handed over to the target yet is not run. */
   void cancel();
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/SendWindow.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/SendWindow.java
@@ -52,6 +52,27 @@
     }
   }
 
+  /**
+   * Waits until {@link #acquire} does not block.
+   *
+   * @param bytes number of bytes to send
+   * @param nanos maximum time to wait, in nanoseconds
+   * @return whether there is enough credit, or the window was closed
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public boolean awaitCredit(int bytes, long nanos) throws InterruptedException {
+    lock.lockInterruptibly();
+    try {
+      long leftNanos = nanos;
+      while (credit < bytes && !closed && leftNanos > 0) {
+        leftNanos = changed.awaitNanos(leftNanos);
+      }
+      return closed || credit >= bytes;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /**
    * Grants credit.
    *
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -61,6 +61,11 @@
     }
   }
 
+  @Override
+  public boolean awaitRoom(long nanos) throws InterruptedException {
+    return sendWindow.awaitCredit(MAX_SEND_BYTES, nanos);
+  }
+
   @Override
   public boolean send(byte[] bytes, boolean last) throws InterruptedException {
     for (int from = 0; from < bytes.length; from += Frames.MAX_DATA_BYTES) {
