Do not count refusals as requests that a stop cuts off

Since connections count as busy from their request on, a caller that goes on until the end leaves one busy with a refusal at almost any moment, and the stop reported it as cut off.

Change: a stop still waits until no connection is busy, as long as it has time; what it reports are calls that are served, without the refusals, which were counted before as well.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -504,7 +504,7 @@
 
   // Returns whether no request is in progress any more.
   private boolean awaitIdle(long deadlineNanos) {
-    while (inProgress() > 0 && time.nanos() < deadlineNanos) {
+    while (!isIdle() && time.nanos() < deadlineNanos) {
       if (!sleep(TimeUnit.MILLISECONDS.toNanos(IDLE_POLL_MILLIS))) {
         return false;
       }
@@ -524,7 +524,13 @@
   }
 
   private int inProgress() {
-    return targetSide.inProgress() + callerListener.busyConnections();
+    return targetSide.inProgress() + callerHandler.callsInProgress();
+  }
+
+  // Also waits for requests that have arrived and not been read, and for refusals, as long as there
+  // is time.
+  private boolean isIdle() {
+    return inProgress() == 0 && callerListener.busyConnections() == 0;
   }
 
   /** {@return the status of the system as this node sees it; blocks for about a second at most} */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.balance.Server;
 import org.amaranthmoor.caller.FirstAttemptEstimator;
 import org.amaranthmoor.caller.RetryAfter;
@@ -39,6 +40,12 @@
  */
 public final class CallerHandler implements HttpServerRequestHandler {
 
+  /**
+   * Time after the deadline at which the connection of a caller is reset that has not received the
+   * whole response, in nanoseconds. The response usually fails at the deadline by itself.
+   */
+  private static final long RESET_DELAY_NANOS = 100_000_000L;
+
   private final RoutingSnapshots snapshots;
   private final EntrySide entrySide;
   private final CallRequestParser parser;
@@ -47,15 +54,10 @@
   private final DeadlineWatch deadlineWatch;
   private final TimeSource time;
   private final EventLog log;
+  private final AtomicInteger callsInProgress = new AtomicInteger();
   private volatile boolean closingConnections;
   private volatile boolean refusingNewCalls;
 
-  /**
-   * Time after the deadline at which the connection of a caller is reset that has not received the
-   * whole response, in nanoseconds. The response usually fails at the deadline by itself.
-   */
-  private static final long RESET_DELAY_NANOS = 100_000_000L;
-
   /**
    * Creates a handler.
    *
@@ -94,6 +96,11 @@
     refusingNewCalls = true;
   }
 
+  /** {@return the number of calls in progress, without those that are refused during a stop} */
+  public int callsInProgress() {
+    return callsInProgress.get();
+  }
+
   @Override
   public void handle(ClassicHttpRequest http, ResponseTrigger trigger, HttpContext context)
       throws HttpException, IOException {
@@ -104,7 +111,12 @@
           trigger, dialect.notRunResponse(new Outcome.NotRun<>(ResultCode.NOT_READY, 0, detail)));
       return;
     }
-    routeAndServe(http, trigger, context, snapshot.get());
+    callsInProgress.incrementAndGet();
+    try {
+      routeAndServe(http, trigger, context, snapshot.get());
+    } finally {
+      callsInProgress.decrementAndGet();
+    }
   }
 
   private static void submitAndClose(ResponseTrigger trigger, ClassicHttpResponse response)
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/Exchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/Exchange.java
@@ -10,6 +10,9 @@
  */
 public interface Exchange {
 
+  /** Largest number of bytes that {@link #send} accepts without blocking if there is room. */
+  int MAX_SEND_BYTES = 32 * 1024;
+
   /**
    * Waits for the outcome.
    *
@@ -38,9 +41,6 @@
    */
   boolean send(byte[] bytes, boolean last) throws InterruptedException;
 
-  /** Largest number of bytes that {@link #send} accepts without blocking if there is room. */
-  int MAX_SEND_BYTES = 32 * 1024;
-
   /** Cancels the exchange; a request that was not handed over to the target yet is not run. */
   void cancel();
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -822,7 +822,7 @@
 
   // Returns whether no request is in progress any more.
   private boolean sleepUntil(long nanos, boolean endWhenIdle) {
-    while (time.nanos() < nanos && !(endWhenIdle && inProgress() == 0)) {
+    while (time.nanos() < nanos && !(endWhenIdle && isIdle())) {
       try {
         Thread.sleep(IDLE_POLL_MILLIS);
       } catch (InterruptedException e) {
@@ -834,7 +834,13 @@
   }
 
   private int inProgress() {
-    return targetSide.inProgress() + callerListener.busyConnections();
+    return targetSide.inProgress() + callerHandler.callsInProgress();
+  }
+
+  // Also waits for requests that have arrived and not been read, and for refusals, as long as there
+  // is time.
+  private boolean isIdle() {
+    return inProgress() == 0 && callerListener.busyConnections() == 0;
   }
 
   /** Closes at once, as if the process were killed; does nothing if the node has stopped. */
