Let writing an event never throw, and show the heap as metrics

A line that could not be created, as on a full heap, threw from the code that was handling a failure, before it had released what it held: a link that failed to log its failure stayed open. Such a line now counts as left out. Gauges show the heap in use and its bound, which no metric did.

EventLogTests.aLineThatCannotBeCreatedIsCountedAndDoesNotThrow fails without the change: the error ends the test's process.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/log/EventLog.java
@@ -15,7 +15,9 @@
  *
  * <p>Lines are limited per event, so that a recurring event does not flood the log: to one a second
  * with short bursts, and to a hundred a second for events of requests. The next line of the event
- * states how many lines were suppressed. Safe for use by several threads.
+ * states how many lines were suppressed. Invariant: writing an event never throws, so that code
+ * that handles a failure may log before it has released everything; a line that cannot be created,
+ * as on a full heap, counts as suppressed. Safe for use by several threads.
  */
 public final class EventLog {
 
@@ -109,6 +111,20 @@
       double rate,
       int burst,
       Supplier<String> details) {
+    try {
+      writeWithinLimit(level, event, limitName, rate, burst, details);
+    } catch (RuntimeException | Error e) {
+      suppressedTotal.increment();
+    }
+  }
+
+  private void writeWithinLimit(
+      Level level,
+      String event,
+      String limitName,
+      double rate,
+      int burst,
+      Supplier<String> details) {
     if (!logger.isLoggable(level)) {
       return;
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/operator/NodeGauges.java
@@ -64,9 +64,16 @@
         "amaranthmoor.log.available",
         "1 if the source of the configuration answers",
         () -> sourceAvailable.getAsBoolean() ? 1 : 0);
+    Runtime runtime = Runtime.getRuntime();
+    metrics.registerGauge(
+        "amaranthmoor.heap.used.bytes",
+        "Bytes of the heap in use, including garbage that has not been collected",
+        () -> runtime.totalMemory() - runtime.freeMemory());
+    metrics.registerGauge(
+        "amaranthmoor.heap.max.bytes", "Bytes that the heap may use at most", runtime::maxMemory);
     metrics.registerCounter(
         "amaranthmoor.log.lines.left.out",
-        "Lines of the log left out by its limits",
+        "Lines of the log left out by its limits, or because they could not be created",
         log::suppressedLines);
   }
 }
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/log/EventLogTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/log/EventLogTests.java
@@ -58,6 +58,18 @@
     return lines.stream().filter(line -> line.contains(part)).count();
   }
 
+  // Code that handles a failure must not end before it has released everything.
+  @Test
+  void aLineThatCannotBeCreatedIsCountedAndDoesNotThrow() {
+    log.warn(
+        "link-failed",
+        () -> {
+          throw new OutOfMemoryError("Java heap space");
+        });
+
+    assertEquals(1, log.suppressedLines());
+  }
+
   @Test
   void limitsLinesOfOneEvent() {
     for (int i = 0; i < 10_000; i++) {
