Keep a port open after an Error, and end only the connection it hit

Callers of a node whose heap had been full once waited for good: the accepting thread caught IOException only, so that an OutOfMemoryError ended it and with it the port, and a connection whose buffers could not be allocated was neither served nor closed, because it was created before the try block.

The accepting thread now goes on after any failure, with a pause, a line and a count. A socket is closed whatever fails between its accept and the end of its service; a failure of a handler resets the connection before it is logged, so that no buffered part of a response is sent.

Ruled out: an Error of a handler as such; before this change its connection was closed too, gracefully, and other connections were served.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -1,8 +1,6 @@
 package org.amaranthmoor.daemon.http;
 
 import java.io.IOException;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -10,8 +8,12 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.model.TimeSource;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -29,17 +31,18 @@
 /**
  * Serves HTTP/1.1 with one virtual thread per connection.
  *
- * <p>If a handler throws after the head of a response was sent, the connection is closed, so that
- * no client accepts a truncated response as complete. Safe for use by several threads.
+ * <p>A failure of any kind, also an {@link Error}, ends the connection on which it occurred and no
+ * other; the connection is reset, so that no client accepts a truncated response as complete. The
+ * listener accepts connections until it is closed. Safe for use by several threads.
  */
 public final class HttpListener implements AutoCloseable {
 
   /** Attribute of a request's context that contains its connection. */
   public static final String CONNECTION_ATTRIBUTE = "amaranthmoor.connection";
 
-  private static final Logger LOGGER = System.getLogger(HttpListener.class.getName());
   private static final int ACCEPT_BACKLOG = 512;
   private static final int CONTINUE_STATUS = 100;
+  private static final long ACCEPT_PAUSE_MILLIS = 10;
   private static final Timeout IDLE_TIMEOUT = Timeout.ofMinutes(2);
   private static final Http1Config CONFIG =
       Http1Config.custom().setMaxHeaderCount(128).setMaxLineLength(16_384).build();
@@ -52,10 +55,21 @@
   private final ServerSocket serverSocket;
   private final Thread acceptor;
   private final HttpService service;
-  private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-  private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+  private final EventLog log;
+  private final ConnectionFactory connectionFactory;
+  private final Executor executor;
+  private final Set<AcceptedConnection> connections = ConcurrentHashMap.newKeySet();
+  private final AtomicLong acceptFailures = new AtomicLong();
   private volatile boolean closed;
 
+  /** Creates connections, whose buffers may not fit into the heap. */
+  @FunctionalInterface
+  interface ConnectionFactory {
+
+    /** Creates a connection that is not bound to a socket. */
+    ServerConnection create(Http1Config config);
+  }
+
   /**
    * Opens the port and starts to accept connections.
    *
@@ -75,6 +89,24 @@
    * @param handler handles requests, each on its connection's thread
    */
   public HttpListener(ServerSocket serverSocket, HttpServerRequestHandler handler) {
+    this(
+        serverSocket,
+        handler,
+        new EventLog(System.getLogger(HttpListener.class.getName()), TimeSource.system()),
+        ServerConnection::new,
+        Executors.newVirtualThreadPerTaskExecutor());
+  }
+
+  /** Starts to accept connections, which the factory creates and the executor's threads serve. */
+  HttpListener(
+      ServerSocket serverSocket,
+      HttpServerRequestHandler handler,
+      EventLog log,
+      ConnectionFactory connectionFactory,
+      Executor executor) {
+    this.log = log;
+    this.connectionFactory = connectionFactory;
+    this.executor = executor;
     this.service =
         new HttpService(HttpProcessors.server("amaranthmoor"), sendContinueIfExpected(handler));
     this.serverSocket = serverSocket;
@@ -127,71 +159,154 @@
    *     been sent, or on which bytes wait to be read
    */
   public int busyConnections() {
-    return (int) connections.stream().filter(ServerConnection::isBusy).count();
+    return (int) connections.stream().filter(AcceptedConnection::isBusy).count();
+  }
+
+  /** {@return the number of open connections} */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  /** {@return the number of connections that could not be accepted} */
+  public long acceptFailures() {
+    return acceptFailures.get();
   }
 
   private void acceptConnections() {
     while (!closed) {
       try {
-        Socket socket = serverSocket.accept();
-        if (closed) {
-          socket.close();
-        } else {
-          executor.execute(() -> serve(socket));
-        }
-      } catch (IOException e) {
+        accept(serverSocket.accept());
+      } catch (IOException | RuntimeException | Error e) {
         if (!closed) {
-          pauseAfterFailedAccept();
+          onFailedAccept(e);
         }
       }
     }
   }
 
-  // Gives the process time to free file descriptors if it has run out of them.
-  private static void pauseAfterFailedAccept() {
+  // The pause gives the process time to free memory or file descriptors if it has run out of them.
+  private void onFailedAccept(Throwable failure) {
+    acceptFailures.incrementAndGet();
     try {
-      Thread.sleep(10);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      Thread.sleep(ACCEPT_PAUSE_MILLIS);
+      log.warn(
+          "accept-failed", () -> "port=" + port() + " error=" + EventLog.quote(failure.toString()));
+    } catch (InterruptedException | RuntimeException | Error e) {
+      // Only close() ends the accepting thread.
     }
   }
 
+  // The socket is closed if no thread serves it.
+  private void accept(Socket socket) {
+    boolean served = false;
+    try {
+      if (!closed) {
+        AcceptedConnection connection = new AcceptedConnection(socket);
+        connections.add(connection);
+        try {
+          executor.execute(connection);
+          served = true;
+        } finally {
+          if (!served) {
+            connections.remove(connection);
+          }
+        }
+      }
+    } finally {
+      if (!served) {
+        reset(socket);
+      }
+    }
+  }
+
+  // Does not send what is buffered, and allocates nothing, so that it succeeds on a full heap.
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+    } catch (IOException | RuntimeException | Error e) {
+      // The socket is closed in any case.
+    }
+    try {
+      socket.close();
+    } catch (IOException | RuntimeException | Error e) {
+      // Nothing else can be done.
+    }
+  }
+
+  private static String topFrame(Throwable failure) {
+    StackTraceElement[] frames = failure.getStackTrace();
+    return frames.length == 0 ? "" : frames[0].toString();
+  }
+
   // A thread that is blocked in accept keeps the port open until it is scheduled again.
   private void awaitAcceptor() {
     try {
       if (!acceptor.join(Duration.ofMillis(CLOSE_TIMEOUT_MILLIS))) {
-        LOGGER.log(Level.WARNING, () -> "event=port-not-closed port=" + port());
+        log.warn("port-not-closed", () -> "port=" + port());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void serve(Socket socket) {
-    ServerConnection connection = new ServerConnection(CONFIG);
-    connections.add(connection);
-    try {
+  /** An accepted connection, as the task that serves its requests one after another. */
+  private final class AcceptedConnection implements Runnable {
+
+    private final Socket socket;
+    private volatile ServerConnection connection;
+
+    AcceptedConnection(Socket socket) {
+      this.socket = socket;
+    }
+
+    @Override
+    public void run() {
+      try {
+        connection = connectionFactory.create(CONFIG);
+        bindAndServe(connection);
+      } catch (IOException | HttpException e) {
+        // The client did not complete a request, or did not read a response.
+      } catch (RuntimeException | Error e) {
+        reset(socket);
+        log.warn(
+            "handler-failed",
+            () ->
+                "port="
+                    + port()
+                    + " error="
+                    + EventLog.quote(e.toString())
+                    + " at="
+                    + EventLog.quote(topFrame(e)));
+      } finally {
+        reset(socket);
+        connections.remove(this);
+      }
+    }
+
+    private void bindAndServe(ServerConnection connection) throws IOException, HttpException {
       socket.setTcpNoDelay(true);
       connection.bind(socket);
       connection.setSocketTimeout(IDLE_TIMEOUT);
+      try {
+        serveRequests(connection);
+      } catch (ConnectionClosedException | SocketException | java.net.SocketTimeoutException e) {
+        // The client closed the connection or was idle for too long.
+      }
+      connection.close(CloseMode.GRACEFUL);
+    }
+
+    private void serveRequests(ServerConnection connection) throws IOException, HttpException {
       while (!closed && connection.isOpen()) {
         HttpCoreContext context = HttpCoreContext.create();
         context.setAttribute(CONNECTION_ATTRIBUTE, connection);
         service.handleRequest(connection, context);
         connection.onExchangeEnd();
       }
-    } catch (ConnectionClosedException | SocketException | java.net.SocketTimeoutException e) {
-      // The client closed the connection or was idle for too long.
-    } catch (IOException | HttpException e) {
-      LOGGER.log(Level.DEBUG, () -> "event=connection-broken error=\"" + e + '"');
-      connection.close(CloseMode.IMMEDIATE);
-    } catch (RuntimeException e) {
-      LOGGER.log(Level.WARNING, () -> "event=handler-failed error=\"" + e + '"', e);
-      connection.close(CloseMode.IMMEDIATE);
-    } finally {
-      connection.close(CloseMode.GRACEFUL);
-      connection.onExchangeEnd();
-      connections.remove(connection);
+    }
+
+    boolean isBusy() {
+      ServerConnection current = connection;
+      return current != null && current.isBusy();
     }
   }
 
@@ -208,7 +323,9 @@
       // The port is closed in any case.
     }
     awaitAcceptor();
-    connections.forEach(connection -> connection.close(CloseMode.IMMEDIATE));
-    executor.shutdownNow();
+    connections.forEach(connection -> reset(connection.socket));
+    if (executor instanceof ExecutorService threads) {
+      threads.shutdownNow();
+    }
   }
 }
