Hold 6 KB of buffers a connection instead of 96 KB

A connection of a caller occupied 105 KB of the heap from its accept on: HttpCore allocates three buffers a connection, of 32 KB each by default, so that 370 idle connections filled a heap of 40 MB.

The buffers are of 2 KB now.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -15,6 +15,7 @@
 import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.http.DrainedEntity;
 import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.daemon.http.StreamedEntity;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
@@ -27,7 +28,6 @@
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.io.entity.InputStreamEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
@@ -283,8 +283,7 @@
         case CallResponse.Body.Buffered buffered ->
             response.setEntity(new ByteArrayEntity(buffered.bytes(), unspecified));
         case CallResponse.Body.Streamed streamed ->
-            response.setEntity(
-                new InputStreamEntity(streamed.stream(), streamed.length(), unspecified));
+            response.setEntity(new StreamedEntity(streamed.stream(), streamed.length()));
       }
     }
     return response;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -44,8 +44,19 @@
   private static final int CONTINUE_STATUS = 100;
   private static final long ACCEPT_PAUSE_MILLIS = 10;
   private static final Timeout IDLE_TIMEOUT = Timeout.ofMinutes(2);
+
+  /**
+   * Size of each of a connection's buffers, in bytes. Bodies bypass them, see {@link
+   * StreamedEntity}.
+   */
+  private static final int BUFFER_BYTES = 2 * 1024;
+
   private static final Http1Config CONFIG =
-      Http1Config.custom().setMaxHeaderCount(128).setMaxLineLength(16_384).build();
+      Http1Config.custom()
+          .setBufferSize(BUFFER_BYTES)
+          .setMaxHeaderCount(128)
+          .setMaxLineLength(16_384)
+          .build();
 
   /**
    * Maximum time to wait until the port is closed: less than a planned stop reserves for closing.
