End a body only after its source has ended well

Callers saw answers in chunks that were complete in form and short. HttpCore closes the stream of a body in every case, which writes the last chunk; the only thing that kept it away was that the connection had been closed before, and a body that ends with its connection looked whole after any orderly close.

The stream to which HttpCore writes now ends the body only if its entity has been written without a failure, whatever was thrown. A connection within a body is closed by a reset; a body without a length arms the reset before its first byte, so that it is not ended by a close that fails halfway either. A connection whose close has failed is closed by the next one.

Evidence, by BodyErrorTests (an Error in the source, in the connection's write, and in the source and then in the close; responses and requests):

- with this change all pass.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -2,13 +2,19 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Optional;
+import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.http.io.SessionOutputBuffer;
 
 /**
  * A connection to an HTTP server, on which neither a response that is cut off nor a request whose
@@ -40,11 +46,24 @@
   @Override
   public void sendRequestEntity(ClassicHttpRequest request) throws HttpException, IOException {
     if (request.getEntity() != null) {
-      request.setEntity(new AbortingEntity(request.getEntity(), this));
+      request.setEntity(new WholeBodyEntity(request.getEntity()));
     }
     super.sendRequestEntity(request);
   }
 
+  @Override
+  protected OutputStream createContentOutputStream(
+      long length,
+      SessionOutputBuffer buffer,
+      OutputStream out,
+      Supplier<List<? extends Header>> trailers) {
+    return new FailClosedOutputStream(
+        super.createContentOutputStream(length, buffer, out, trailers),
+        length,
+        this,
+        Optional.empty());
+  }
+
   @Override
   protected InputStream createContentInputStream(
       long length, SessionInputBuffer buffer, InputStream in) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -2,15 +2,22 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
+import java.util.List;
 import java.util.Optional;
+import org.apache.hc.core5.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.http.io.SessionOutputBuffer;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.io.Closer;
 
 /**
  * A connection from an HTTP client, on which neither a request that is cut off nor a response whose
@@ -21,6 +28,8 @@
 final class ServerConnection extends DefaultBHttpServerConnection {
 
   private volatile Optional<Socket> socket = Optional.empty();
+  // Whether a response body has been begun and not ended well.
+  private volatile boolean withinBody;
   private volatile boolean inExchange;
 
   ServerConnection(Http1Config config) {
@@ -78,9 +87,32 @@
   @Override
   public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
     if (response.getEntity() != null) {
-      response.setEntity(new AbortingEntity(response.getEntity(), this));
+      response.setEntity(new WholeBodyEntity(response.getEntity()));
     }
     super.sendResponseEntity(response);
+    withinBody = false;
+  }
+
+  @Override
+  protected OutputStream createContentOutputStream(
+      long length,
+      SessionOutputBuffer buffer,
+      OutputStream out,
+      Supplier<List<? extends Header>> trailers) {
+    withinBody = true;
+    return new FailClosedOutputStream(
+        super.createContentOutputStream(length, buffer, out, trailers), length, this, socket);
+  }
+
+  /** Closes the connection, and resets it within a response body, whatever the mode. */
+  @Override
+  public void close(CloseMode mode) {
+    try {
+      super.close(withinBody ? CloseMode.IMMEDIATE : mode);
+    } finally {
+      // HttpCore forgets the socket before it closes it, so an earlier close may have failed.
+      socket.ifPresent(Closer::closeQuietly);
+    }
   }
 
   @Override
