Fail a body whose source ends before its stated length

HttpCore writes what there is of a body with a length and goes on, so a caller would wait for the rest, or take the next answer on the connection for it, and a target the next request. A target's body that ended early counted as answered.

The stream of a sent body counts its bytes and resets the connection if its source has ended early. EndNotifyingBody fails, and the exchange ends as broken. A caller's body that ends early is no failure of the target.

The case of the caller's body has no test of its own.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/EndNotifyingBody.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/EndNotifyingBody.java
@@ -6,8 +6,8 @@
 
 /**
  * A body stream that runs one of two callbacks once: when its end is reached, or when it is closed
- * before that. A body whose length is known ends with its last byte, as a reader need not ask for
- * more.
+ * or fails before that. A body whose length is known ends with its last byte, as a reader need not
+ * ask for more, and one whose source ends before that fails.
  *
  * <p>Not thread-safe; used by one thread at a time.
  */
@@ -25,7 +25,8 @@
    * @param body the body
    * @param length length of the body in bytes, or negative if it is not known
    * @param onEnd run when the end of the body is reached
-   * @param onEarlyClose run when the body is closed before its end
+   * @param onEarlyClose run when the body is closed before its end, or its source ends before the
+   *     stated length
    */
   public EndNotifyingBody(InputStream body, long length, Runnable onEnd, Runnable onEarlyClose) {
     super(body);
@@ -44,6 +45,10 @@
   @Override
   public int read(byte[] buffer, int offset, int length) throws IOException {
     int count = in.read(buffer, offset, length);
+    if (count < 0 && lengthKnown && left > 0) {
+      notifyOnce(onEarlyClose);
+      throw new IOException("the body ended " + left + " bytes before its stated length");
+    }
     left -= Math.max(0, count);
     if (count < 0 || (lengthKnown && left <= 0)) {
       notifyOnce(onEnd);
@@ -53,8 +58,11 @@
 
   @Override
   public void close() throws IOException {
-    notifyOnce(onEarlyClose);
-    in.close();
+    try {
+      notifyOnce(onEarlyClose);
+    } finally {
+      in.close();
+    }
   }
 
   private void notifyOnce(Runnable action) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/FailClosedOutputStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/FailClosedOutputStream.java
@@ -13,8 +13,9 @@
  * The stream of a body that is sent, which ends the body only if all of it was written.
  *
  * <p>HttpCore closes the stream that it writes to in every case, which adds the last chunk of a
- * chunked body. Invariant: a peer never takes a body for whole whose source has failed, also if the
- * connection cannot be closed. Not safe for use by several threads.
+ * chunked body. Invariant: a peer never takes a body for whole whose source has failed or has ended
+ * before its stated length, also if the connection cannot be closed. Not safe for use by several
+ * threads.
  */
 final class FailClosedOutputStream extends FilterOutputStream {
 
@@ -41,8 +42,16 @@
     this.socket = socket;
   }
 
-  /** Records that the source of the body has ended well. */
-  void markWhole() {
+  /**
+   * Records that the source of the body has ended well.
+   *
+   * @throws IOException if the body has a length and fewer bytes were written
+   */
+  void markWhole() throws IOException {
+    if (length >= 0 && written < length) {
+      throw new IOException(
+          "the source of a body of " + length + " bytes ended after " + written + " bytes");
+    }
     whole = true;
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -218,7 +218,11 @@
     if (request.bodyComplete()) {
       length = request.bodyPrefix().length;
     } else {
-      body = new SequenceInputStream(body, new CallerBody(call.remainingBody()));
+      body =
+          new SequenceInputStream(
+              body,
+              new CallerBody(
+                  call.remainingBody(), Math.max(0, length - request.bodyPrefix().length)));
     }
     boolean chunked = length < 0;
     http.setEntity(new InputStreamEntity(body, length, null));
@@ -403,8 +407,12 @@
   // A body that the caller does not complete is no failure of the target.
   private final class CallerBody extends FilterInputStream {
 
-    CallerBody(InputStream body) {
+    // Bytes of the stated length that have not arrived.
+    private long left;
+
+    CallerBody(InputStream body, long statedBytes) {
       super(body);
+      this.left = statedBytes;
     }
 
     @Override
@@ -416,7 +424,12 @@
     @Override
     public int read(byte[] buffer, int offset, int length) throws IOException {
       try {
-        return in.read(buffer, offset, length);
+        int count = in.read(buffer, offset, length);
+        if (count < 0 && left > 0) {
+          throw new IOException("the request's body ended before its stated length");
+        }
+        left -= Math.max(0, count);
+        return count;
       } catch (IOException e) {
         callerBodyFailed = true;
         throw e;
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/BodyErrorTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/BodyErrorTests.java
@@ -232,6 +232,40 @@
     assertEquals(chunked, received.endsWith(LAST_CHUNK), "a last chunk");
   }
 
+  // Otherwise the peer waits, or takes the next message for the rest of the body.
+  @Test
+  void aResponseWhoseSourceEndsBeforeItsLengthEndsTheConnection() throws Exception {
+    ServerConnection connection = new ServerConnection(Http1Config.DEFAULT);
+    connection.bind(own);
+    BasicClassicHttpResponse response = new BasicClassicHttpResponse(200);
+    response.setHeader("Content-Length", Integer.toString(BODY_BYTES));
+    response.setEntity(
+        new InputStreamEntity(
+            new ByteArrayInputStream(new byte[BODY_BYTES - 1]), BODY_BYTES, null));
+
+    connection.sendResponseHeader(response);
+    assertThrows(IOException.class, () -> connection.sendResponseEntity(response));
+
+    assertFalse(connection.isOpen());
+  }
+
+  // Otherwise the target waits, or takes the next request for the rest of the body.
+  @Test
+  void aRequestWhoseSourceEndsBeforeItsLengthEndsTheConnection() throws Exception {
+    ClientConnection connection = new ClientConnection();
+    connection.bind(own);
+    BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/");
+    request.setHeader("Content-Length", Integer.toString(BODY_BYTES));
+    request.setEntity(
+        new InputStreamEntity(
+            new ByteArrayInputStream(new byte[BODY_BYTES - 1]), BODY_BYTES, null));
+
+    connection.sendRequestHeader(request);
+    assertThrows(IOException.class, () -> connection.sendRequestEntity(request));
+
+    assertFalse(connection.isOpen());
+  }
+
   @Test
   void aConnectionWhoseCloseHasFailedIsClosedByTheNextClose() throws Exception {
     ServerConnection connection = new ServerConnection(Http1Config.DEFAULT);
