Bound the connections of each port by the heap and the descriptors

Nothing bounded connections: each was accepted and got its buffers and a thread, so that callers alone could fill the heap, after which no port of the node served anybody, reports of targets, readiness checks and metrics included. The ports kept taking connections that no thread answered.

A port now accepts a number of connections that follows from the largest size of the heap and, for callers, from the soft limit of descriptors. Beyond it the connection that has been idle for longest is closed in favour of the new one; if none is idle, the new one gets the caller's 503 with Retry-After before anything of it is read, so that nothing of it is run, and what it sends is dropped for at most a second and 1 MiB, as a reset would destroy the response; if many are being refused already, it is closed at once. The ports for reports, readiness, metrics and operators have limits of their own. Each operation takes constant time.

A connection is idle until the first byte of a request has arrived. One without any request so far only counts as idle after a second.

Connections by listener and state, those refused, dropped, replaced and failed, and failed accepts are metrics; two events state when a port begins to refuse and when it has room again.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.amaranthmoor.caller.LoadShedder;
+import org.amaranthmoor.daemon.caller.CallerDialect;
 import org.amaranthmoor.daemon.caller.CallerHandler;
 import org.amaranthmoor.daemon.caller.EntrySide;
 import org.amaranthmoor.daemon.caller.NativeCallerDialect;
@@ -26,6 +27,7 @@
 import org.amaranthmoor.daemon.exchange.RequestFingerprinter;
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.daemon.http.ListenerSettings;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
@@ -59,6 +61,8 @@
 import org.amaranthmoor.daemon.target.TargetSide;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.GossipTimings;
@@ -77,6 +81,7 @@
 import org.amaranthmoor.target.KeyOwnership;
 import org.amaranthmoor.target.NoticeCache;
 import org.amaranthmoor.target.SuspectRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
 
 /**
  * A node that is configured by the log: assembles the entry side, the target side, gossip and the
@@ -179,15 +184,10 @@
     this.entrySide =
         new EntrySide(
             settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
+    CallerDialect callerDialect = new NativeCallerDialect(time);
     this.callerHandler =
         new CallerHandler(
-            views,
-            entrySide,
-            new NativeCallerDialect(time),
-            targetSide::runningAttempt,
-            deadlineWatch,
-            time,
-            log);
+            views, entrySide, callerDialect, targetSide::runningAttempt, deadlineWatch, time, log);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
     this.announcer = new Announcer(settings, identity, platformLog, log);
@@ -242,11 +242,23 @@
             new LeaveExchange(membership, runs -> {}),
             metrics,
             time);
-    this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
+    this.callerListener =
+        new HttpListener(
+                HttpListener.open(address(settings.callerPort())),
+                callerHandler,
+                ListenerSettings.forCallers(() -> connectionRefusal(callerDialect), time, log))
+            .registerWith(metrics);
     this.adminListener =
         new HttpListener(
-            address(settings.adminPort()),
-            new AdminHandler(metrics, this::notReadyReason, this::status));
+                HttpListener.open(address(settings.adminPort())),
+                new AdminHandler(metrics, this::notReadyReason, this::status),
+                ListenerSettings.forControl("admin", time, log))
+            .registerWith(metrics);
+  }
+
+  private static ClassicHttpResponse connectionRefusal(CallerDialect dialect) {
+    return dialect.notRunResponse(
+        new Outcome.NotRun<>(ResultCode.NODE_BUSY, 0, "the node has too many connections"));
   }
 
   private TargetSide createTargetSide(TargetDialect dialect, RequestQuarantine quarantine) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -6,13 +6,15 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.time.Duration;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToIntFunction;
+import org.amaranthmoor.connection.ConnectionAdmission;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.TimeSource;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
@@ -33,7 +35,8 @@
  *
  * <p>A failure of any kind, also an {@link Error}, ends the connection on which it occurred and no
  * other; the connection is reset, so that no client accepts a truncated response as complete. The
- * listener accepts connections until it is closed. Safe for use by several threads.
+ * listener accepts connections until it is closed, up to the limits of {@link ConnectionAdmission}.
+ * Safe for use by several threads.
  */
 public final class HttpListener implements AutoCloseable {
 
@@ -43,6 +46,10 @@
   private static final int ACCEPT_BACKLOG = 512;
   private static final int CONTINUE_STATUS = 100;
   private static final long ACCEPT_PAUSE_MILLIS = 10;
+
+  /** Part of the capacity up to which a port that was full counts as available again. */
+  private static final double NEARLY_FULL_SHARE = 0.75;
+
   private static final Timeout IDLE_TIMEOUT = Timeout.ofMinutes(2);
 
   /**
@@ -66,11 +73,17 @@
   private final ServerSocket serverSocket;
   private final Thread acceptor;
   private final HttpService service;
+  private final ListenerSettings settings;
   private final EventLog log;
   private final ConnectionFactory connectionFactory;
   private final Executor executor;
-  private final Set<AcceptedConnection> connections = ConcurrentHashMap.newKeySet();
+  private final ConnectionTable<AcceptedConnection> connections;
   private final AtomicLong acceptFailures = new AtomicLong();
+  private final AtomicLong connectionFailures = new AtomicLong();
+  private final AtomicLong replacedCount = new AtomicLong();
+  private final AtomicLong refusedCount = new AtomicLong();
+  private final AtomicLong droppedCount = new AtomicLong();
+  private final AtomicBoolean full = new AtomicBoolean();
   private volatile boolean closed;
 
   /** Creates connections, whose buffers may not fit into the heap. */
@@ -82,7 +95,8 @@
   }
 
   /**
-   * Opens the port and starts to accept connections.
+   * Opens the port and starts to accept connections, as a port for callers that has the standard
+   * refusal.
    *
    * @param address the address to listen on
    * @param handler handles requests, each on its connection's thread
@@ -90,7 +104,13 @@
    */
   public HttpListener(InetSocketAddress address, HttpServerRequestHandler handler)
       throws IOException {
-    this(open(address), handler);
+    this(open(address), handler, standardSettings());
+  }
+
+  private static ListenerSettings standardSettings() {
+    TimeSource time = TimeSource.system();
+    EventLog log = new EventLog(System.getLogger(HttpListener.class.getName()), time);
+    return ListenerSettings.forCallers(ListenerSettings::unavailable, time, log);
   }
 
   /**
@@ -98,12 +118,14 @@
    *
    * @param serverSocket the port, as {@link #open} returns it
    * @param handler handles requests, each on its connection's thread
+   * @param settings limits of the port and what it depends on
    */
-  public HttpListener(ServerSocket serverSocket, HttpServerRequestHandler handler) {
+  public HttpListener(
+      ServerSocket serverSocket, HttpServerRequestHandler handler, ListenerSettings settings) {
     this(
         serverSocket,
         handler,
-        new EventLog(System.getLogger(HttpListener.class.getName()), TimeSource.system()),
+        settings,
         ServerConnection::new,
         Executors.newVirtualThreadPerTaskExecutor());
   }
@@ -112,10 +134,12 @@
   HttpListener(
       ServerSocket serverSocket,
       HttpServerRequestHandler handler,
-      EventLog log,
+      ListenerSettings settings,
       ConnectionFactory connectionFactory,
       Executor executor) {
-    this.log = log;
+    this.settings = settings;
+    this.log = settings.log();
+    this.connections = new ConnectionTable<>(settings.admission());
     this.connectionFactory = connectionFactory;
     this.executor = executor;
     this.service =
@@ -170,19 +194,60 @@
    *     been sent, or on which bytes wait to be read
    */
   public int busyConnections() {
-    return (int) connections.stream().filter(AcceptedConnection::isBusy).count();
+    return (int) connections.accepted().stream().filter(AcceptedConnection::isBusy).count();
   }
 
-  /** {@return the number of open connections} */
-  public int openConnections() {
-    return connections.size();
+  /** {@return the numbers of connections} */
+  ConnectionTable.Counts connectionCounts() {
+    return connections.counts();
   }
 
   /** {@return the number of connections that could not be accepted} */
-  public long acceptFailures() {
+  long acceptFailures() {
     return acceptFailures.get();
   }
 
+  /**
+   * Registers the metrics of this listener.
+   *
+   * @param metrics receives the metrics
+   * @return this listener
+   */
+  public HttpListener registerWith(NodeMetrics metrics) {
+    registerGauge(metrics, "idle", ConnectionTable.Counts::idle);
+    registerGauge(metrics, "active", ConnectionTable.Counts::active);
+    registerGauge(metrics, "refusing", ConnectionTable.Counts::refusals);
+    registerCounter(
+        metrics, "connections.replaced", "Idle connections closed for new ones", replacedCount);
+    registerCounter(
+        metrics, "connections.refused", "Connections refused with a response", refusedCount);
+    registerCounter(
+        metrics, "connections.dropped", "Connections closed without a response", droppedCount);
+    registerCounter(
+        metrics, "connections.failed", "Connections reset after a failure", connectionFailures);
+    registerCounter(
+        metrics, "accepts.failed", "Connections that could not be accepted", acceptFailures);
+    return this;
+  }
+
+  private void registerGauge(
+      NodeMetrics metrics, String state, ToIntFunction<ConnectionTable.Counts> count) {
+    metrics.registerGauge(
+        "amaranthmoor.connections",
+        "Open connections of clients",
+        () -> count.applyAsInt(connections.counts()),
+        "listener",
+        settings.name(),
+        "state",
+        state);
+  }
+
+  private void registerCounter(
+      NodeMetrics metrics, String name, String description, AtomicLong value) {
+    metrics.registerCounter(
+        "amaranthmoor." + name, description, value::get, "listener", settings.name());
+  }
+
   private void acceptConnections() {
     while (!closed) {
       try {
@@ -199,37 +264,94 @@
   private void onFailedAccept(Throwable failure) {
     acceptFailures.incrementAndGet();
     try {
+      connections.closeLongestIdle(settings.time().nanos());
       Thread.sleep(ACCEPT_PAUSE_MILLIS);
-      log.warn(
-          "accept-failed", () -> "port=" + port() + " error=" + EventLog.quote(failure.toString()));
+      log.warn("accept-failed", () -> name() + " error=" + EventLog.quote(failure.toString()));
     } catch (InterruptedException | RuntimeException | Error e) {
       // Only close() ends the accepting thread.
     }
   }
 
-  // The socket is closed if no thread serves it.
+  // The socket is closed if no thread takes it over.
   private void accept(Socket socket) {
-    boolean served = false;
+    boolean started = false;
     try {
-      if (!closed) {
-        AcceptedConnection connection = new AcceptedConnection(socket);
-        connections.add(connection);
-        try {
-          executor.execute(connection);
-          served = true;
-        } finally {
-          if (!served) {
-            connections.remove(connection);
-          }
-        }
-      }
+      started = !closed && start(socket);
     } finally {
-      if (!served) {
+      if (!started) {
         reset(socket);
       }
     }
   }
 
+  private boolean start(Socket socket) {
+    AcceptedConnection connection = new AcceptedConnection(socket);
+    ConnectionAdmission.Decision decision = connections.add(connection, settings.time().nanos());
+    switch (decision) {
+      case ACCEPT -> start(connection, () -> connections.remove(connection));
+      case REPLACE_IDLE -> {
+        replacedCount.incrementAndGet();
+        start(connection, () -> connections.remove(connection));
+      }
+      case REFUSE -> {
+        refusedCount.incrementAndGet();
+        start(() -> refuse(socket), connections::endRefusal);
+        logIfFull();
+      }
+      case DROP -> {
+        droppedCount.incrementAndGet();
+        logIfFull();
+      }
+    }
+    return decision != ConnectionAdmission.Decision.DROP;
+  }
+
+  private void start(Runnable task, Runnable onFailure) {
+    boolean started = false;
+    try {
+      executor.execute(task);
+      started = true;
+    } finally {
+      if (!started) {
+        onFailure.run();
+      }
+    }
+  }
+
+  private void refuse(Socket socket) {
+    try (socket) {
+      new ConnectionRefusal(socket, settings.time()).send(settings.refusal().get());
+    } catch (IOException | RuntimeException | Error e) {
+      // The client is gone, or waits for its response in vain; its request was not read.
+    } finally {
+      connections.endRefusal();
+    }
+  }
+
+  private void logIfFull() {
+    if (!full.getAndSet(true)) {
+      log.warn("connections-full", () -> name() + " capacity=" + settings.admission().capacity());
+    }
+  }
+
+  private void onEnd(AcceptedConnection connection) {
+    connections.remove(connection);
+    if (full.get() && !isNearlyFull() && full.getAndSet(false)) {
+      log.info(
+          "connections-available",
+          () -> name() + " refused=" + refusedCount + " dropped=" + droppedCount);
+    }
+  }
+
+  private boolean isNearlyFull() {
+    ConnectionTable.Counts counts = connections.counts();
+    return counts.idle() + counts.active() > settings.admission().capacity() * NEARLY_FULL_SHARE;
+  }
+
+  private String name() {
+    return "listener=" + settings.name() + " port=" + port();
+  }
+
   // Does not send what is buffered, and allocates nothing, so that it succeeds on a full heap.
   private static void reset(Socket socket) {
     try {
@@ -253,7 +375,7 @@
   private void awaitAcceptor() {
     try {
       if (!acceptor.join(Duration.ofMillis(CLOSE_TIMEOUT_MILLIS))) {
-        log.warn("port-not-closed", () -> "port=" + port());
+        log.warn("port-not-closed", this::name);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -261,7 +383,7 @@
   }
 
   /** An accepted connection, as the task that serves its requests one after another. */
-  private final class AcceptedConnection implements Runnable {
+  private final class AcceptedConnection implements Runnable, ConnectionTable.Connection {
 
     private final Socket socket;
     private volatile ServerConnection connection;
@@ -279,18 +401,18 @@
         // The client did not complete a request, or did not read a response.
       } catch (RuntimeException | Error e) {
         reset(socket);
+        connectionFailures.incrementAndGet();
         log.warn(
             "handler-failed",
             () ->
-                "port="
-                    + port()
+                name()
                     + " error="
                     + EventLog.quote(e.toString())
                     + " at="
                     + EventLog.quote(topFrame(e)));
       } finally {
         reset(socket);
-        connections.remove(this);
+        onEnd(this);
       }
     }
 
@@ -307,17 +429,42 @@
     }
 
     private void serveRequests(ServerConnection connection) throws IOException, HttpException {
-      while (!closed && connection.isOpen()) {
+      while (!closed
+          && connection.isOpen()
+          && connection.isDataAvailable(IDLE_TIMEOUT)
+          && connections.beginRequest(this)) {
         HttpCoreContext context = HttpCoreContext.create();
         context.setAttribute(CONNECTION_ATTRIBUTE, connection);
         service.handleRequest(connection, context);
         connection.onExchangeEnd();
+        if (!connection.hasBufferedBytes()) {
+          connections.becomeIdle(this);
+        }
       }
     }
 
     boolean isBusy() {
       ServerConnection current = connection;
-      return current != null && current.isBusy();
+      return (current != null && current.inExchange()) || hasBytesWaiting();
+    }
+
+    @Override
+    public boolean hasBytesWaiting() {
+      try {
+        return socket.getInputStream().available() > 0;
+      } catch (IOException e) {
+        // The connection was closed meanwhile.
+        return false;
+      }
+    }
+
+    @Override
+    public void close() {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // The client sees the end of the connection in any case.
+      }
     }
   }
 
@@ -334,7 +481,7 @@
       // The port is closed in any case.
     }
     awaitAcceptor();
-    connections.forEach(connection -> reset(connection.socket));
+    connections.accepted().forEach(connection -> reset(connection.socket));
     if (executor instanceof ExecutorService threads) {
       threads.shutdownNow();
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.Socket;
-import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
@@ -16,30 +14,20 @@
  * A connection from an HTTP client, on which neither a request that is cut off nor a response whose
  * body fails ever appears complete.
  *
- * <p>Used by one thread at a time, except for closing it and for {@link #isBusy}.
+ * <p>Used by one thread at a time, except for {@link #inExchange}.
  */
 final class ServerConnection extends DefaultBHttpServerConnection {
 
-  private volatile Optional<Socket> socket = Optional.empty();
+  private final CompleteHeadParser<ClassicHttpRequest> parser;
   private volatile boolean inExchange;
 
   ServerConnection(Http1Config config) {
-    super(
-        "http",
-        config,
-        null,
-        null,
-        null,
-        null,
-        parserConfig ->
-            new CompleteHeadParser<>(new DefaultHttpRequestParserFactory(parserConfig).create()),
-        null);
+    this(config, new CompleteHeadParser<>(new DefaultHttpRequestParserFactory(config).create()));
   }
 
-  @Override
-  public void bind(Socket bound) throws IOException {
-    socket = Optional.of(bound);
-    super.bind(bound);
+  private ServerConnection(Http1Config config, CompleteHeadParser<ClassicHttpRequest> parser) {
+    super("http", config, null, null, null, null, parserConfig -> parser, null);
+    this.parser = parser;
   }
 
   @Override
@@ -52,18 +40,14 @@
     inExchange = false;
   }
 
-  /**
-   * {@return whether a request has been received whose response has not been sent, or bytes wait to
-   * be read}
-   */
-  boolean isBusy() {
-    try {
-      return inExchange
-          || (isOpen() && socket.isPresent() && socket.get().getInputStream().available() > 0);
-    } catch (IOException e) {
-      // The connection was closed meanwhile.
-      return inExchange;
-    }
+  /** {@return whether a request has been received whose response has not been sent} */
+  boolean inExchange() {
+    return inExchange;
+  }
+
+  /** {@return whether bytes after the last request that was read are buffered} */
+  boolean hasBufferedBytes() {
+    return parser.hasBufferedBytes();
   }
 
   // HttpCore flushes after each response, also if it has just closed the connection, which sends
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -27,6 +27,7 @@
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.exchange.TimedExecutor;
 import org.amaranthmoor.daemon.http.HttpListener;
+import org.amaranthmoor.daemon.http.ListenerSettings;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
@@ -48,6 +49,8 @@
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.Outcome;
+import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.ServiceName;
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
@@ -70,6 +73,7 @@
 import org.amaranthmoor.target.TargetHealth;
 import org.amaranthmoor.target.TargetLifecycle;
 import org.amaranthmoor.target.TargetRun;
+import org.apache.hc.core5.http.ClassicHttpResponse;
 
 /**
  * A node of a mesh: assembles the entry side, the target side, gossip and the reading of the
@@ -328,7 +332,17 @@
         configHolder::version,
         time,
         log);
-    this.callerListener = new HttpListener(callerSocket, callerHandler);
+    this.callerListener =
+        new HttpListener(
+                callerSocket,
+                callerHandler,
+                ListenerSettings.forCallers(() -> connectionRefusal(callerDialect), time, log))
+            .registerWith(metrics);
+  }
+
+  private static ClassicHttpResponse connectionRefusal(CallerDialect dialect) {
+    return dialect.notRunResponse(
+        new Outcome.NotRun<>(ResultCode.NODE_BUSY, 0, "the node has too many connections"));
   }
 
   private TargetSide createTargetSide(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -166,9 +166,11 @@
    * @param name the metric's name
    * @param description the help text of the metric
    * @param value provides the value
+   * @param tags alternating names and values of tags
    */
-  public void registerGauge(String name, String description, Supplier<Number> value) {
-    Gauge.builder(name, value).description(description).register(registry);
+  public void registerGauge(
+      String name, String description, Supplier<Number> value, String... tags) {
+    Gauge.builder(name, value).description(description).tags(tags).register(registry);
   }
 
   /**
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
@@ -31,6 +31,8 @@
 
   private final AtomicBoolean failing = new AtomicBoolean();
   private final AtomicInteger failures = new AtomicInteger();
+  private final EventLog log =
+      new EventLog(System.getLogger(getClass().getName()), TimeSource.system());
   private HttpListener listener;
 
   @AfterEach
@@ -60,7 +62,7 @@
               }
               trigger.submitResponse(new BasicClassicHttpResponse(204));
             },
-            new EventLog(System.getLogger(getClass().getName()), TimeSource.system()),
+            ListenerSettings.forControl("test", TimeSource.system(), log),
             factory,
             executor);
   }
@@ -97,7 +99,7 @@
   }
 
   private void assertNoConnectionIsLeft() {
-    while (listener.openConnections() > 0) {
+    while (!listener.connectionCounts().equals(new ConnectionTable.Counts(0, 0, 0))) {
       Thread.onSpinWait();
     }
   }
