Go on with periodic tasks after an Error

A node whose heap had been full once sent no gossip, enforced no deadline and noticed no silent link any more, though its process lived: an Error passed FailureLoggingRunner, which caught exceptions only, and ended the schedule of the tick, as did an allocation between two tasks.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -333,7 +333,8 @@
 
   private void schedulePeriodically(Runnable task, long periodMillis) {
     var unused =
-        scheduler.scheduleWithFixedDelay(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+        scheduler.scheduleWithFixedDelay(
+            () -> tasks.run(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
   }
 
   private void sendSyncRequest(Endpoint peer) {
@@ -393,7 +394,7 @@
 
   private void onPeerOffset(long offset) {
     if (offset > stateHolder.current().offset() && !logFollower.available()) {
-      executor.execute(this::readStateFromPeer);
+      executor.execute(() -> tasks.run(this::readStateFromPeer));
     }
   }
 
@@ -435,7 +436,7 @@
         () -> {
           ClusterState state = stateHolder.current();
           views.rebuild(new ReleaseNoteRoutingSource(state, membership));
-          executor.execute(this::announceIfMissing);
+          executor.execute(() -> tasks.run(this::announceIfMissing));
           leaseRenewer.renewAll();
           evictor.dueEvictions(state).forEach(this::evict);
           List<NodeName> reachable =
@@ -468,6 +469,11 @@
     return views.current().isPresent() ? "" : "no configuration yet";
   }
 
+  /** {@return the metrics of this node} */
+  public NodeMetrics metrics() {
+    return metrics;
+  }
+
   /**
    * Stops as planned: the target side refuses new requests at once, the node announces its leave,
    * serves callers until they have had notice of it, lets requests in progress end, and closes.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -175,6 +175,8 @@
   private long nextPeerSearchNanos;
   private long lastTickNanos;
   private boolean overloaded;
+  // Created once, because a tick that fails must not end the schedule.
+  private final Runnable tick = this::tick;
   // The newest epoch of the source that handleEpochChange has processed.
   private SourceEpoch handledEpoch = SourceEpoch.UNKNOWN;
 
@@ -463,7 +465,7 @@
     lastTickNanos = time.nanos();
     var unused =
         scheduler.scheduleWithFixedDelay(
-            this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            () -> tasks.run(tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     log.info(
         "node-started",
         () ->
