Read a configuration again that an Error kept from being in force

An Error ended the thread that reads the configuration, so the node never learned a change again. An exception after a read had moved the position already, so the version was lost until the next one was published; and a read that failed while it could be aborted left its flag, so that a later epoch of the source discarded the next answer. The thread now goes on after any failure, with the backoff of an unreachable source, and the position moves only once what was read is in force.

All four ConfigFollowerTests fail on the code before.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.ConfigReadPolicy;
@@ -13,7 +14,8 @@
  * Reads the operator's configuration and evacuations of zones on its own thread while the read
  * policy requires this node to read.
  *
- * <p>Safe for use by several threads.
+ * <p>Invariant: no failure ends the thread, and what was read counts as read only once it is in
+ * force, so that a failure in between has it read again. Safe for use by several threads.
  */
 final class ConfigFollower implements AutoCloseable {
 
@@ -34,6 +36,8 @@
   private final ConfigReadPolicy readPolicy;
   private final TimeSource time;
   private final EventLog log;
+  private final FailureLoggingRunner tasks;
+  private final Runnable step = this::step;
   private final Thread thread;
   private volatile boolean available;
   private volatile boolean closed;
@@ -65,6 +69,7 @@
     this.readPolicy = readPolicy;
     this.time = time;
     this.log = log;
+    this.tasks = new FailureLoggingRunner(log);
     this.thread = Thread.ofVirtual().name("config-follower").unstarted(this::run);
   }
 
@@ -93,17 +98,22 @@
 
   private void run() {
     while (!closed) {
-      try {
-        if (shouldRead()) {
-          readOnce();
-        } else {
-          Thread.sleep(POLICY_POLL_MILLIS);
-        }
-      } catch (InterruptedException e) {
-        logInterrupted();
-      } catch (RuntimeException e) {
-        log.warn("config-follower-failed", () -> "error=" + EventLog.quote(e.toString()));
+      tasks.run("config-follower-failed", step);
+    }
+  }
+
+  private void step() {
+    try {
+      if (shouldRead()) {
+        readOnce();
+      } else {
+        Thread.sleep(POLICY_POLL_MILLIS);
       }
+    } catch (InterruptedException e) {
+      logInterrupted();
+    } catch (RuntimeException | Error e) {
+      readPolicy.onReadFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
+      throw e;
     }
   }
 
@@ -125,26 +135,38 @@
   }
 
   private void readOnce() throws InterruptedException {
+    ConfigFeed.ReadResult result;
+    boolean aborted;
     readInProgress = true;
-    ConfigFeed.ReadResult result = feed.readAfter(position);
-    readInProgress = false;
-    if (readAborted) {
-      readAborted = false;
-      // The interrupt that aborted this read must not abort the next one.
-      Thread.interrupted();
+    try {
+      result = feed.readAfter(position);
+    } finally {
+      readInProgress = false;
+      aborted = readAborted;
+      if (aborted) {
+        readAborted = false;
+        // The interrupt that aborted this read must not abort the next one.
+        Thread.interrupted();
+      }
+    }
+    if (aborted) {
       return;
     }
     switch (result) {
       case ConfigFeed.ReadResult.Records records -> {
-        onReached(records.position());
+        onAnswered();
         // Before the configuration, so that the first one in force never routes to evacuated zones.
         onZoneUpdate.accept(records.zones(), records.position());
+        records.document().ifPresent(this::decodeAndPublish);
+        position = records.position();
         if (records.document().isPresent()) {
-          decodeAndPublish(records.document().get());
           Thread.sleep(PAUSE_AFTER_CHANGE_MILLIS);
         }
       }
-      case ConfigFeed.ReadResult.PositionInvalid invalid -> onReached(ConfigFeed.START);
+      case ConfigFeed.ReadResult.PositionInvalid invalid -> {
+        onAnswered();
+        position = ConfigFeed.START;
+      }
       case ConfigFeed.ReadResult.Unavailable unavailable -> {
         setAvailable(false, unavailable.detail());
         readPolicy.onReadFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
@@ -152,10 +174,9 @@
     }
   }
 
-  private void onReached(ConfigFeed.Position next) {
+  private void onAnswered() {
     setAvailable(true, "");
     readPolicy.onReadSuccess();
-    position = next;
   }
 
   private void decodeAndPublish(byte[] document) {
--- /dev/null
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/ConfigFollowerTests.java
@@ -0,0 +1,170 @@
+package org.amaranthmoor.daemon.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.amaranthmoor.caller.HostRoutes;
+import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.model.NodeName;
+import org.amaranthmoor.model.SourceEpoch;
+import org.amaranthmoor.model.TimeSource;
+import org.amaranthmoor.node.ConfigReadPolicy;
+import org.amaranthmoor.yaml.ParseResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+// A full heap ended the reading of the configuration for good, or lost a version that was read.
+class ConfigFollowerTests {
+
+  private static final SourceEpoch EPOCH = new SourceEpoch(1);
+  private static final long TIMEOUT_SECONDS = 10;
+
+  private final CountDownLatch inForce = new CountDownLatch(1);
+  private final AtomicBoolean failed = new AtomicBoolean();
+  private Optional<ConfigFollower> started = Optional.empty();
+
+  /** A source with one version; a read after it waits until it is interrupted. */
+  private static class OneVersionFeed implements ConfigFeed {
+    @Override
+    public ReadResult readAfter(Position position) {
+      if (position.equals(START)) {
+        return new ReadResult.Records(
+            Optional.of(new byte[0]), new ZoneUpdate.Changes(Map.of()), new Position(EPOCH, 1));
+      }
+      try {
+        new CountDownLatch(1).await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return new ReadResult.Unavailable("interrupted");
+    }
+
+    @Override
+    public ParseResult<RoutingConfig> decode(byte[] document) {
+      return new ParseResult.Valid<>(
+          new RoutingConfig(
+              1, new HostRoutes(List.of(), () -> 0), Map.of(), Map.of(), Map.of(), document));
+    }
+  }
+
+  private ConfigFollower start(ConfigFeed feed, Consumer<RoutingConfig> onConfig) {
+    TimeSource time = TimeSource.system();
+    ConfigFollower follower =
+        new ConfigFollower(
+            feed,
+            onConfig,
+            (zones, position) -> {},
+            new ConfigReadPolicy(new NodeName("n1")),
+            time,
+            new EventLog(System.getLogger("test"), time));
+    started = Optional.of(follower);
+    follower.start();
+    return follower;
+  }
+
+  private void failOnce() {
+    if (failed.compareAndSet(false, true)) {
+      throw new OutOfMemoryError("test");
+    }
+  }
+
+  @AfterEach
+  void close() {
+    started.ifPresent(ConfigFollower::close);
+  }
+
+  @Test
+  void anErrorDuringAReadDoesNotEndTheReading() throws InterruptedException {
+    ConfigFeed feed =
+        new OneVersionFeed() {
+          @Override
+          public ReadResult readAfter(Position position) {
+            failOnce();
+            return super.readAfter(position);
+          }
+        };
+
+    start(feed, config -> inForce.countDown());
+
+    assertTrue(inForce.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void aVersionWhoseDecodingFailedByAnErrorIsReadAgain() throws InterruptedException {
+    ConfigFeed feed =
+        new OneVersionFeed() {
+          @Override
+          public ParseResult<RoutingConfig> decode(byte[] document) {
+            failOnce();
+            return super.decode(document);
+          }
+        };
+
+    start(feed, config -> inForce.countDown());
+
+    assertTrue(inForce.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void aVersionThatAnErrorKeptFromBeingInForceIsReadAgain() throws InterruptedException {
+    start(
+        new OneVersionFeed(),
+        config -> {
+          failOnce();
+          inForce.countDown();
+        });
+
+    assertTrue(inForce.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  // After a failed read the follower was interrupted as if that read still waited, and the result
+  // of
+  // the next read was discarded.
+  @Test
+  void aReadThatFailedIsNotAbortedByALaterEpoch() throws InterruptedException {
+    CountDownLatch readFailed = new CountDownLatch(1);
+    AtomicInteger readsAfterAbort = new AtomicInteger();
+    CountDownLatch second = new CountDownLatch(1);
+    ConfigFeed feed =
+        new OneVersionFeed() {
+          @Override
+          public ReadResult readAfter(Position position) {
+            if (position.equals(START)) {
+              return super.readAfter(position);
+            }
+            if (readFailed.getCount() > 0) {
+              readFailed.countDown();
+              throw new OutOfMemoryError("test");
+            }
+            readsAfterAbort.incrementAndGet();
+            return new ReadResult.Records(
+                Optional.of(new byte[0]),
+                new ZoneUpdate.Changes(Map.of()),
+                new Position(EPOCH, position.offset() + 1));
+          }
+        };
+    AtomicInteger published = new AtomicInteger();
+    ConfigFollower follower =
+        start(
+            feed,
+            config -> {
+              if (published.incrementAndGet() == 2) {
+                second.countDown();
+              }
+            });
+    assertTrue(readFailed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+    follower.abortReadBefore(new SourceEpoch(2));
+
+    assertTrue(second.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    assertEquals(1, readsAfterAbort.get());
+  }
+}
