Store a leave or a quarantine whose write an Error ended

An Error while the shared records were read ended the thread of the directory: the node found no other node, and after a restart its history stayed unknown, so that its target got no request. One while a leave was written left it in memory only, and the next report of it was acknowledged; one while a quarantine was written, or its thread could not be started, left it unwritten for good. The directory's thread now goes on after any failure and writes what the stored record lacks, in place of a thread for each write, which may not start on a full heap.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -1,16 +1,18 @@
 package org.amaranthmoor.daemon.mesh;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.Names;
@@ -42,7 +44,8 @@
  * restored from an older copy, the node writes its record again.
  *
  * <p>Invariant: the leaves that earlier processes of this node acknowledged count as known only if
- * the record that was read is of the newest epoch. Safe for use by several threads.
+ * the record that was read is of the newest epoch. No failure ends the thread, and a change that
+ * could not be written is written later. Safe for use by several threads.
  */
 final class InstanceDirectory implements AutoCloseable {
 
@@ -61,6 +64,9 @@
   /** Interval at which the epoch is polled, in milliseconds. */
   private static final long EPOCH_POLL_MILLIS = 20;
 
+  /** Longest time after which a change of the record is found, in milliseconds. */
+  private static final long CHANGE_POLL_MILLIS = 500;
+
   /** Shortest backoff after a failure, in milliseconds; jitter makes it up to twice as long. */
   private static final long MIN_BACKOFF_MILLIS = 500;
 
@@ -86,13 +92,24 @@
   private final Consumer<List<TargetRun>> onLeftRunsChange;
   private final TimeSource time;
   private final EventLog log;
+  private final FailureLoggingRunner tasks;
   private final LeftRuns leftRuns = new LeftRuns();
   private final Object writeLock = new Object();
+  private final Runnable pause = this::pauseAfterFailure;
   private final Thread thread;
   private volatile boolean closed;
   // Whether all leaves that earlier processes of this node acknowledged are known.
   private volatile boolean historyKnown;
-  private final AtomicBoolean quarantineWritePending = new AtomicBoolean();
+  // Changes of the record, and how many of them the stored record contains.
+  private final AtomicLong changes = new AtomicLong();
+  private volatile long storedChanges;
+  // Whether other nodes have been sent all leaves. Guarded by the write lock.
+  private boolean leavesAnnounced = true;
+  // Whether the stored record lacks a leave. Written under the write lock, read without it.
+  private volatile boolean leaveUnstored;
+  // When the record is written again after a rollback of the source; only while that is due.
+  private volatile boolean rewritePending;
+  private volatile long rewriteNanos;
   // Whether this process has stored the record.
   private volatile boolean recordStored;
 
@@ -127,6 +144,7 @@
     this.onLeftRunsChange = onLeftRunsChange;
     this.time = time;
     this.log = log;
+    this.tasks = new FailureLoggingRunner(log);
     this.thread = Thread.ofVirtual().name("instance-directory").unstarted(this::run);
   }
 
@@ -140,20 +158,86 @@
   }
 
   private void run() {
+    boolean initialized = false;
+    while (!closed) {
+      try {
+        if (!initialized) {
+          readAndWrite();
+          initialized = true;
+        }
+        writeChange();
+      } catch (InterruptedException e) {
+        log.info("directory-closed", () -> "node=" + settings.node());
+        return;
+      } catch (RuntimeException | Error e) {
+        tasks.onFailure("directory-failed", e);
+        // On a full heap, the pause may fail too.
+        tasks.run(pause);
+      }
+    }
+  }
+
+  private void pauseAfterFailure() {
+    LockSupport.parkNanos(this, TimeUnit.MILLISECONDS.toNanos(MIN_BACKOFF_MILLIS));
+  }
+
+  private void readAndWrite() throws InterruptedException {
+    if (settings.firstStart()) {
+      awaitEpoch();
+      writeUntilStored(() -> recordStored ? Optional.empty() : write());
+      Thread.sleep(READ_DELAY_MILLIS);
+      readUntilSuccess();
+    } else if (!readUntilSuccess()) {
+      writeUntilStored();
+    }
+  }
+
+  // Waits for a change for a short time, and writes it.
+  private void writeChange() throws InterruptedException {
+    if (hasUnstoredChange()) {
+      writeUntilStored(() -> hasUnstoredChange() ? write() : Optional.empty());
+    } else if (rewritePending && rewriteNanos - time.nanos() <= 0) {
+      rewriteRecord();
+    } else {
+      awaitChange();
+    }
+  }
+
+  private void rewriteRecord() throws InterruptedException {
+    // Cleared first, as the source may be rolled back again meanwhile.
+    rewritePending = false;
+    boolean done = false;
     try {
-      if (settings.firstStart()) {
-        awaitEpoch();
-        writeUntilStored(() -> recordStored ? Optional.empty() : write());
-        Thread.sleep(READ_DELAY_MILLIS);
-        readUntilSuccess();
-      } else if (!readUntilSuccess()) {
+      if (epochTracker.recordMayBeLost()) {
         writeUntilStored();
       }
-    } catch (InterruptedException e) {
-      log.info("directory-closed", () -> "node=" + settings.node());
+      done = true;
+    } finally {
+      if (!done) {
+        rewritePending = true;
+      }
+    }
+    log.info("record-kept-again", () -> "epoch=" + epochTracker.newest());
+  }
+
+  private void awaitChange() throws InterruptedException {
+    long pollNanos = TimeUnit.MILLISECONDS.toNanos(CHANGE_POLL_MILLIS);
+    long nanos = rewritePending ? Math.min(pollNanos, rewriteNanos - time.nanos()) : pollNanos;
+    LockSupport.parkNanos(this, nanos);
+    if (Thread.interrupted()) {
+      throw new InterruptedException();
     }
   }
 
+  private boolean hasUnstoredChange() {
+    return storedChanges < changes.get();
+  }
+
+  private void onChange() {
+    changes.incrementAndGet();
+    LockSupport.unpark(thread);
+  }
+
   // The record contains the current epoch, which the first read of the configuration reports; that
   // read runs at the same time.
   private void awaitEpoch() throws InterruptedException {
@@ -172,8 +256,13 @@
         case SharedRecords.ReadResult.AllRecords all -> {
           return applyRecords(all);
         }
-        case SharedRecords.ReadResult.Unavailable unavailable ->
-            backOff("directory-unreadable", unavailable.detail());
+        case SharedRecords.ReadResult.Unavailable unavailable -> {
+          backOff("directory-unreadable", unavailable.detail());
+          // The next process of this node must find the leave, whenever this one ends.
+          if (leaveUnstored) {
+            var unused = write();
+          }
+        }
       }
     }
     return true;
@@ -202,18 +291,9 @@
    * @param delayNanos the delay in nanoseconds
    */
   void rewriteAfter(long delayNanos) {
-    Thread.startVirtualThread(
-        () -> {
-          try {
-            Thread.sleep(Duration.ofNanos(delayNanos));
-            if (epochTracker.recordMayBeLost()) {
-              writeUntilStored();
-            }
-            log.info("record-kept-again", () -> "epoch=" + epochTracker.newest());
-          } catch (InterruptedException e) {
-            log.warn("record-not-kept", () -> "detail=interrupted");
-          }
-        });
+    rewriteNanos = time.nanos() + delayNanos;
+    rewritePending = true;
+    LockSupport.unpark(thread);
   }
 
   private void backOff(String event, String detail) throws InterruptedException {
@@ -226,6 +306,7 @@
       if (closed) {
         return Optional.of("the directory is closed");
       }
+      long includedChanges = changes.get();
       InstanceRecord.Builder record =
           InstanceRecord.newBuilder()
               .setNode(settings.node().value())
@@ -247,6 +328,8 @@
         case SharedRecords.WriteResult.Stored stored -> {
           epochTracker.onRecordStored(stored.epoch());
           recordStored = true;
+          storedChanges = includedChanges;
+          leaveUnstored = false;
           yield Optional.empty();
         }
         case SharedRecords.WriteResult.Failed failed -> Optional.of(failed.detail());
@@ -278,23 +361,11 @@
 
   /**
    * Stores which requests are quarantined, so that a restart of all nodes does not forget them.
-   * Does not block; a failed write is retried.
+   * Does not block; a failed write is retried. The record is not written before the first read,
+   * which adds the leaves of earlier processes to it.
    */
   void storeQuarantine() {
-    if (quarantineWritePending.compareAndSet(false, true)) {
-      Thread.startVirtualThread(this::writeQuarantine);
-    }
-  }
-
-  private void writeQuarantine() {
-    try {
-      // The first read adds the leaves of earlier processes to the record.
-      thread.join();
-      quarantineWritePending.set(false);
-      writeUntilStored();
-    } catch (InterruptedException e) {
-      log.warn("quarantine-not-kept", () -> "detail=interrupted");
-    }
+    onChange();
   }
 
   /**
@@ -308,24 +379,25 @@
     Optional<String> failure;
     // A concurrent call for the same run waits for this write.
     synchronized (writeLock) {
-      if (!leftRuns.add(run)) {
+      boolean added = leftRuns.add(run);
+      if (added) {
+        leavesAnnounced = false;
+        leaveUnstored = true;
+        changes.incrementAndGet();
+      }
+      if (!leavesAnnounced) {
+        onLeftRunsChange.accept(leftRuns.list());
+        leavesAnnounced = true;
+      }
+      if (!added) {
         return;
       }
-      onLeftRunsChange.accept(leftRuns.list());
       failure = write();
     }
     if (failure.isPresent()) {
       log.warn(
           "leave-not-kept", () -> "run=" + run.id() + " detail=" + EventLog.quote(failure.get()));
-      Thread.startVirtualThread(this::retryWrite);
-    }
-  }
-
-  private void retryWrite() {
-    try {
-      writeUntilStored();
-    } catch (InterruptedException e) {
-      log.warn("leave-not-kept", () -> "detail=interrupted");
+      LockSupport.unpark(thread);
     }
   }
 
