Keep watching work whose abort could not be started

An abort for which no thread could be started was dropped, and with it those of all work that was overdue in the same tick: the work kept its slot, its connection and its caller for ever. It now stays watched until its abort has been started or it has ended.

Three of four DeadlineWatchTests fail on the code before; the fourth shows that an abort still runs once.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/DeadlineWatch.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/DeadlineWatch.java
@@ -3,14 +3,15 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Aborts work that blocks on a connection past its deadline.
  *
  * <p>A timeout of a socket limits each read, so that a peer that keeps sending single bytes is
  * never too late, and a write has none at all. Invariant: the action of a watched piece of work is
- * run at most once, and not after {@link Watched#close} has returned {@code true}. Safe for use by
- * several threads.
+ * run at most once, and not after {@link Watched#close} has returned {@code true}; work whose
+ * action cannot be run stays watched. Safe for use by several threads.
  */
 public final class DeadlineWatch {
 
@@ -31,6 +32,7 @@
 
     private final long latestNanos;
     private final Runnable abort;
+    private final AtomicBoolean ended = new AtomicBoolean();
 
     private Watched(long latestNanos, Runnable abort) {
       this.latestNanos = latestNanos;
@@ -43,7 +45,25 @@
      * @return whether the work was not aborted
      */
     public boolean close() {
-      return watched.remove(this);
+      watched.remove(this);
+      return ended.compareAndSet(false, true);
+    }
+
+    private boolean isOverdue(long nowNanos) {
+      return nowNanos - latestNanos > 0;
+    }
+
+    private void startAbort() {
+      if (!ended.compareAndSet(false, true)) {
+        return;
+      }
+      try {
+        executor.execute(abort);
+        watched.remove(this);
+      } catch (RuntimeException | Error e) {
+        // It stays watched, so the next call starts the action.
+        ended.set(false);
+      }
     }
   }
 
@@ -63,12 +83,15 @@
   /**
    * Aborts what is overdue. Called several times a second; does not block.
    *
+   * <p>If an action cannot be started, as on a full heap, the next call starts it; the others are
+   * started all the same.
+   *
    * @param nowNanos the current time, in monotonic nanoseconds
    */
   public void abortOverdue(long nowNanos) {
     for (Watched work : watched) {
-      if (nowNanos - work.latestNanos > 0 && work.close()) {
-        executor.execute(work.abort);
+      if (work.isOverdue(nowNanos)) {
+        work.startAbort();
       }
     }
   }
