Start a check of a target again after one that could not start

A health check for which no thread could be started counted as in progress for ever: the speed of the target was never asked again, or its run after a restart of the node never confirmed, so that it got no request. A check for a crash that failed kept all later ones from starting (by reading, no test).

TargetProbeTests and RestartConfirmationTests fail on the code before: one start instead of two.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/RestartConfirmation.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/RestartConfirmation.java
@@ -85,7 +85,19 @@
     Optional<TargetLifecycle.Report> report =
         lifecycle.newest().filter(newest -> !newest.leaving() && !lifecycle.isGone(newest.run()));
     if (report.isPresent() && checking.compareAndSet(false, true)) {
-      executor.execute(() -> check(report.get(), onConfirmed));
+      startCheck(report.get(), onConfirmed);
+    }
+  }
+
+  private void startCheck(TargetLifecycle.Report report, Runnable onConfirmed) {
+    boolean started = false;
+    try {
+      executor.execute(() -> check(report, onConfirmed));
+      started = true;
+    } finally {
+      if (!started) {
+        checking.set(false);
+      }
     }
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
@@ -156,9 +156,10 @@
     try {
       if (!unchecked.isEmpty()) {
         checkFindsEnd(unchecked.getLast().destination);
-        unchecked.clear();
       }
     } finally {
+      // Also after a failure: only the first one that is deferred starts a check.
+      unchecked.clear();
       checkLock.unlock();
     }
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -72,7 +72,15 @@
   /** Starts probing unless it is in progress; the result is passed to the admission. */
   public void probe() {
     if (probing.compareAndSet(false, true)) {
-      executor.execute(this::probeWhileNeeded);
+      boolean started = false;
+      try {
+        executor.execute(this::probeWhileNeeded);
+        started = true;
+      } finally {
+        if (!started) {
+          probing.set(false);
+        }
+      }
     }
   }
 
@@ -90,11 +98,22 @@
     }
   }
 
+  // Whatever fails, the admission must not wait for this probe any longer.
   private void probeOnce() {
+    boolean speedKnown = false;
+    try {
+      speedKnown = findsSpeed();
+    } finally {
+      if (!speedKnown) {
+        admission.onSpeedUnknown(time.nanos());
+      }
+    }
+  }
+
+  private boolean findsSpeed() {
     Optional<HealthCheckClient.HealthCheck> check = healthCheck.get();
     if (check.isEmpty() || !rateLimit.tryAcquire(time.nanos())) {
-      admission.onSpeedUnknown(time.nanos());
-      return;
+      return false;
     }
     try {
       long sentNanos = time.nanos();
@@ -108,11 +127,11 @@
           report.map(TargetDialect.HealthReport::slowdown).orElse(OptionalDouble.empty());
       if (factor.isPresent()) {
         admission.onSlowdown(factor.getAsDouble(), time.nanos());
-        return;
+        return true;
       }
     } catch (IOException | HttpException e) {
       log.warn("target-speed-unknown", () -> "error=" + EventLog.quote(e.toString()));
     }
-    admission.onSpeedUnknown(time.nanos());
+    return false;
   }
 }
