Apply what an Error kept the node from applying

The hash of the members, the epoch of the source, the report that the target side is open for and the configuration in force were recorded before what depends on them was done. An Error in between left routes, records or a closed target side as they were until the next change, which may be hours away. They are now recorded last, or the next tick repeats the rest.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -171,6 +171,8 @@
   // This node's part of the retries that all nodes together may save up beyond the retry share.
   private volatile int retryBurst;
   private long lastViewHash;
+  // Whether what this node routes by and announces lacks a change that is in force.
+  private volatile boolean viewsOutdated;
   private final MemberChanges memberChanges = new MemberChanges();
   private long nextPeerSearchNanos;
   private long lastTickNanos;
@@ -570,6 +572,7 @@
   private boolean putInForce(RoutingConfig config, String source) {
     boolean isNew = configHolder.advance(config);
     if (isNew) {
+      viewsOutdated = true;
       membership.setConfigOffset(config.version());
       rebuildViews();
       log.info(
@@ -588,6 +591,7 @@
   }
 
   private synchronized void rebuildViews() {
+    viewsOutdated = true;
     configHolder
         .current()
         .ifPresent(
@@ -598,6 +602,16 @@
                         membership,
                         registry.servedService(),
                         evacuatedZones.zones(time.nanos()))));
+    viewsOutdated = false;
+  }
+
+  // Repeats what a failure kept from being applied, as nothing else may change for a long time.
+  private void applyMissedChanges() {
+    if (viewsOutdated) {
+      membership.setConfigOffset(configHolder.version());
+      membership.setEvacuatedZones(evacuatedZones.state());
+      rebuildViews();
+    }
   }
 
   private boolean isOwnZoneEvacuated(long nowNanos) {
@@ -615,6 +629,9 @@
               evacuatedZones.onChanges(
                   changes.evacuated(), position.epoch(), position.offset(), now);
         };
+    if (changed) {
+      viewsOutdated = true;
+    }
     membership.setEvacuatedZones(evacuatedZones.state());
     if (changed) {
       applyEvacuatedZones("feed");
@@ -625,6 +642,9 @@
   private void onPeerEvacuatedZones(GossipSocket.PeerConfig peer) {
     EvacuatedZones.State before = evacuatedZones.state();
     boolean changed = evacuatedZones.onState(peer.evacuatedZones(), time.nanos());
+    if (changed) {
+      viewsOutdated = true;
+    }
     if (!evacuatedZones.state().equals(before)) {
       membership.setEvacuatedZones(evacuatedZones.state());
     }
@@ -676,7 +696,6 @@
     if (newest.equals(before)) {
       return;
     }
-    handledEpoch = newest;
     membership.setSourceEpoch(newest);
     if (before.known()) {
       int nodes = membership.members().size();
@@ -696,6 +715,8 @@
       directory.rewriteAfter(delayNanos);
       gossip.send(membership.configAnnouncements(false));
     }
+    // Last, so that the next tick repeats what has failed.
+    handledEpoch = newest;
   }
 
   private void announceOwnState() {
@@ -734,6 +755,7 @@
                 .checkLiveness()
                 .forEach(address -> log.warn("link-silent", () -> "peer=" + address.node())));
     tasks.run(this::handleMemberChanges);
+    tasks.run(this::applyMissedChanges);
     tasks.run(this::contactPeersIfAlone);
   }
 
@@ -757,7 +779,6 @@
   private void handleMemberChanges() {
     long viewHash = membership.viewHash();
     if (viewHash != lastViewHash) {
-      lastViewHash = viewHash;
       List<Member> members = membership.members();
       retryBurst = retryBurstFor(members.size());
       readPolicy.onZoneMembers(
@@ -768,6 +789,8 @@
       logChanges(members);
       rebuildViews();
       links.closeStale(membership);
+      // Last, so that the next tick repeats what has failed.
+      lastViewHash = viewHash;
     }
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -59,6 +59,8 @@
   // The last run that the target side was opened for.
   private Optional<TargetRun> lastOpenRun = Optional.empty();
   private boolean zoneWasEvacuated;
+  // Whether the target side is not as openReport states, because a failure kept it from that.
+  private boolean refreshIncomplete;
   private boolean draining;
   private boolean stopping;
 
@@ -105,6 +107,10 @@
       return false;
     }
     TargetLifecycle.Change change = lifecycle.onReport(report, time.nanos());
+    // Before the target side opens, so that a cold target never gets the load of a warm one.
+    if (change == TargetLifecycle.Change.READY || change == TargetLifecycle.Change.NONE) {
+      targetSide.onCold(report.coldLeftNanos());
+    }
     if (change != TargetLifecycle.Change.NONE) {
       log.info(
           "target-report",
@@ -124,10 +130,6 @@
                   + " change="
                   + change);
     }
-    // Before the target side opens, so that a cold target never gets the load of a warm one.
-    if (change == TargetLifecycle.Change.READY || change == TargetLifecycle.Change.NONE) {
-      targetSide.onCold(report.coldLeftNanos());
-    }
     refresh();
     if (change == TargetLifecycle.Change.LEAVING) {
       directory.storeLeave(report.run());
@@ -171,9 +173,10 @@
         openReport
             .map(TargetLifecycle.Report::serving)
             .equals(ready.map(TargetLifecycle.Report::serving));
-    if (sameRun && sameService) {
+    if (sameRun && sameService && !refreshIncomplete) {
       return;
     }
+    refreshIncomplete = true;
     openReport = ready;
     if (ready.isPresent()) {
       if (!sameRun) {
@@ -197,6 +200,7 @@
                 + evacuated
                 + ready.map(report -> " run=" + report.run().id()).orElse(""));
     onTargetSideChange.run();
+    refreshIncomplete = false;
   }
 
   private void announceServedService() {
