--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/LogFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/platform/LogFollower.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.amaranthmoor.daemon.log.EventLog;
+import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.platform.ClusterState;
 import org.amaranthmoor.platform.StateHolder;
@@ -10,7 +11,7 @@
 /**
  * Reads the log continuously on its own thread and passes the newest state to the state holder.
  *
- * <p>Safe for use by several threads.
+ * <p>Invariant: no failure ends the thread. Safe for use by several threads.
  */
 public final class LogFollower implements AutoCloseable {
 
@@ -32,6 +33,7 @@
   private final CatchUpListener catchUpListener;
   private final TimeSource time;
   private final EventLog log;
+  private final FailureLoggingRunner tasks;
   private final AtomicBoolean available = new AtomicBoolean();
   private final Thread thread;
   private volatile boolean closed;
@@ -56,6 +58,7 @@
     this.catchUpListener = catchUpListener;
     this.time = time;
     this.log = log;
+    this.tasks = new FailureLoggingRunner(log);
     this.thread = Thread.ofPlatform().name("log-follower").daemon().unstarted(this::run);
   }
 
@@ -76,8 +79,8 @@
         caughtUp = step(caughtUp);
       } catch (InterruptedException e) {
         return;
-      } catch (RuntimeException e) {
-        log.warn("log-follower-failed", () -> "error=" + EventLog.quote(e.toString()));
+      } catch (RuntimeException | Error e) {
+        tasks.onFailure("log-follower-failed", e);
       }
     }
   }
