Say that a node is not ready while it is short of memory

A node whose heap was full said that it was ready, and its clients stayed and got nothing. The errors are counted in amaranthmoor_memory_errors_total.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -64,6 +64,7 @@
 import org.amaranthmoor.node.GossipTimings;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.node.MemoryPressure;
 import org.amaranthmoor.platform.AnnouncedTarget;
 import org.amaranthmoor.platform.ClusterState;
 import org.amaranthmoor.platform.PlatformLog;
@@ -101,6 +102,7 @@
   private final EventLog log;
   private final FailureLoggingRunner tasks;
   private final NodeIdentity identity;
+  private final MemoryPressure memoryPressure = new MemoryPressure();
   private final NodeMetrics metrics = new NodeMetrics();
   private final StateHolder stateHolder = new StateHolder();
   private final Membership membership;
@@ -145,7 +147,7 @@
     this.settings = settings;
     this.time = time;
     this.log = log;
-    this.tasks = new FailureLoggingRunner(log);
+    this.tasks = new FailureLoggingRunner(log, this::onError);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
@@ -242,6 +244,10 @@
             new LeaveExchange(membership, runs -> {}),
             metrics,
             time);
+    metrics.registerCounter(
+        "amaranthmoor.memory.errors",
+        "Failures for want of memory that this node survived",
+        memoryPressure::errors);
     this.callerListener = new HttpListener(address(settings.callerPort()), callerHandler);
     this.adminListener =
         new HttpListener(
@@ -466,6 +472,9 @@
     if (draining) {
       return "draining";
     }
+    if (memoryPressure.isShort(time.nanos())) {
+      return "short of memory";
+    }
     return views.current().isPresent() ? "" : "no configuration yet";
   }
 
@@ -474,6 +483,15 @@
     return metrics;
   }
 
+  /**
+   * Records a failure that this node survived.
+   *
+   * @param error the failure
+   */
+  public void onError(Throwable error) {
+    memoryPressure.onError(error, time.nanos());
+  }
+
   /**
    * Stops as planned: the target side refuses new requests at once, the node announces its leave,
    * serves callers until they have had notice of it, lets requests in progress end, and closes.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -57,6 +57,7 @@
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.MemberChanges;
 import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.node.MemoryPressure;
 import org.amaranthmoor.node.SourceEpochTracker;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.ColdStart;
@@ -136,6 +137,7 @@
   private final EventLog log;
   private final FailureLoggingRunner tasks;
   private final NodeIdentity identity;
+  private final MemoryPressure memoryPressure = new MemoryPressure();
   private final NodeMetrics metrics = new NodeMetrics();
   private final ConfigHolder configHolder = new ConfigHolder();
   private final ConfigReadPolicy readPolicy;
@@ -211,7 +213,7 @@
     this.retryBurst = retryBurstFor(1);
     this.time = time;
     this.log = log;
-    this.tasks = new FailureLoggingRunner(log);
+    this.tasks = new FailureLoggingRunner(log, this::onError);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
@@ -332,6 +334,10 @@
         configHolder::version,
         time,
         log);
+    metrics.registerCounter(
+        "amaranthmoor.memory.errors",
+        "Failures for want of memory that this node survived",
+        memoryPressure::errors);
     this.callerListener = new HttpListener(callerSocket, callerHandler);
   }
 
@@ -502,7 +508,16 @@
 
   /** {@return whether callers may send requests here} */
   public boolean ready() {
-    return !stopping && views.current().isPresent();
+    return !stopping && views.current().isPresent() && !memoryPressure.isShort(time.nanos());
+  }
+
+  /**
+   * Records a failure that this node survived.
+   *
+   * @param error the failure
+   */
+  public void onError(Throwable error) {
+    memoryPressure.onError(error, time.nanos());
   }
 
   // A target reports as soon as it has started. After a power loss this is before the node has its
