Keep the event loop of a node running after an Error

Netty ends an event loop whose input or output throws an Error ("event executor terminated"), and with it all links and the gossip of the node, while its process lives. The error is now logged and the loop goes on; what was ready is still ready then.

EventLoopsTests fails with netty's own handler, as the nodes used it: the loop has terminated within a second.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -1,8 +1,6 @@
 package org.amaranthmoor.daemon;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -29,6 +27,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.node.EventLoops;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.LeaveExchange;
 import org.amaranthmoor.daemon.node.NodeIdentity;
@@ -108,8 +107,7 @@
   private final Membership membership;
   private final CrashLedger crashLedger = new CrashLedger();
   private final SuspicionExchange suspicions;
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
@@ -148,6 +146,7 @@
     this.time = time;
     this.log = log;
     this.tasks = new FailureLoggingRunner(log, this::onError);
+    this.group = EventLoops.create(tasks);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -1,8 +1,6 @@
 package org.amaranthmoor.daemon.mesh;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +28,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.node.EventLoops;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.LeaveExchange;
 import org.amaranthmoor.daemon.node.NodeIdentity;
@@ -147,8 +146,7 @@
   private final CrashLedger crashLedger = new CrashLedger();
   private final SuspicionExchange suspicions;
   private final LeaveExchange leaves;
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final LoadShedder shedder;
@@ -214,6 +212,7 @@
     this.time = time;
     this.log = log;
     this.tasks = new FailureLoggingRunner(log, this::onError);
+    this.group = EventLoops.create(tasks);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
