End the process of a node that cannot serve any more

A node that had lost its event loop or an accept thread, could not be started to the end, or failed during its stop, lived on: its ports took connections and nothing answered. Its process now ends with status 1 and the line node-failed. Any other failure of a thread is logged as thread-failed and counted in amaranthmoor_thread_failures_total; it was a stack trace of the JVM, or nothing.

--- a/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/NodeCommand.java
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/NodeCommand.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import org.amaranthmoor.daemon.NodeDaemon;
+import org.amaranthmoor.daemon.ProcessSupervisor;
 import org.amaranthmoor.daemon.Signals;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.settings.NodeSettings;
@@ -39,14 +40,29 @@
     TimeSource time = TimeSource.system();
     EventLog log = new EventLog(System.getLogger("org.amaranthmoor.node"), time);
     NodeDaemon daemon = new NodeDaemon(settings, time, log);
+    ProcessSupervisor supervisor =
+        new ProcessSupervisor(log, () -> {}, status -> Runtime.getRuntime().halt(status));
+    supervisor.setListener(daemon::onError);
+    daemon
+        .metrics()
+        .registerCounter(
+            "amaranthmoor.thread.failures",
+            "Threads that a failure ended",
+            supervisor::threadFailures);
+    Thread.setDefaultUncaughtExceptionHandler(supervisor);
     Signals.onStop(() -> stop(daemon));
     daemon.start();
-    Thread.sleep(Long.MAX_VALUE);
+    supervisor.supervise(daemon::failure);
     return ExitCode.OK;
   }
 
+  // Whatever fails during the stop, the process ends.
   private static void stop(NodeDaemon daemon) {
-    boolean finished = daemon.stop();
-    Runtime.getRuntime().halt(finished ? ExitCode.OK : ExitCode.FAILED);
+    boolean finished = false;
+    try {
+      finished = daemon.stop();
+    } finally {
+      Runtime.getRuntime().halt(finished ? ExitCode.OK : ExitCode.FAILED);
+    }
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -92,6 +92,7 @@
   private static final long SLOW_TICK_MILLIS = 1_000;
   private static final long DRAIN_NOTICE_MILLIS = 1_000;
   private static final long IDLE_POLL_MILLIS = 20;
+  private static final Optional<String> EVENT_LOOP_ENDED = Optional.of("the event loop ended");
 
   /** Time before the drain limit by which all calls have their responses, in milliseconds. */
   private static final long ANSWER_RESERVE_MILLIS = 100;
@@ -491,6 +492,11 @@
     memoryPressure.onError(error, time.nanos());
   }
 
+  /** {@return why this node cannot serve any more although it was not stopped, or empty} */
+  public Optional<String> failure() {
+    return group.isShuttingDown() && !closed.get() ? EVENT_LOOP_ENDED : Optional.empty();
+  }
+
   /**
    * Stops as planned: the target side refuses new requests at once, the node announces its leave,
    * serves callers until they have had notice of it, lets requests in progress end, and closes.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -131,6 +131,8 @@
 
   private static final int INITIAL_SLOTS = 1;
 
+  private static final Optional<String> EVENT_LOOP_ENDED = Optional.of("the event loop ended");
+
   private final MeshSettings settings;
   private final TimeSource time;
   private final EventLog log;
@@ -519,6 +521,11 @@
     memoryPressure.onError(error, time.nanos());
   }
 
+  /** {@return why this node cannot serve any more although it was not stopped, or empty} */
+  public Optional<String> failure() {
+    return group.isShuttingDown() && !closed.get() ? EVENT_LOOP_ENDED : Optional.empty();
+  }
+
   // A target reports as soon as it has started. After a power loss this is before the node has its
   // configuration, and a target whose report is not acknowledged retries only much later.
   private boolean isKnownService(ServiceName service) {
