Bound what answers of the store hold by a share of the heap

One answer of the store was read up to 8 MiB, a fifth of the heap of a deployed node, of which several copies are in memory while it is parsed; its head, and the pages of a topic in sum, had no bound at all. A read that filled the heap failed the requests of callers beside it, and was repeated.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -22,13 +22,20 @@
 
   /** Creates a connection that is not bound to a socket yet. */
   public ClientConnection() {
-    this(
-        new CompleteHeadParser<>(
-            new DefaultHttpResponseParserFactory(Http1Config.DEFAULT).create()));
+    this(Http1Config.DEFAULT);
   }
 
-  private ClientConnection(CompleteHeadParser<ClassicHttpResponse> parser) {
-    super(Http1Config.DEFAULT, null, null, null, null, null, config -> parser);
+  /**
+   * Creates a connection that is not bound to a socket yet.
+   *
+   * @param config the bounds of a response's head
+   */
+  ClientConnection(Http1Config config) {
+    this(config, new CompleteHeadParser<>(new DefaultHttpResponseParserFactory(config).create()));
+  }
+
+  private ClientConnection(Http1Config head, CompleteHeadParser<ClassicHttpResponse> parser) {
+    super(head, null, null, null, null, null, config -> parser);
     this.parser = parser;
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
@@ -51,11 +52,22 @@
               new RequestContent(), new RequestConnControl(), new RequestUserAgent("amaranthmoor"))
           .build();
 
-  /** Largest body of a response, in bytes. */
+  /** Largest body of a response on a large heap, in bytes. */
   private static final int MAX_BODY_BYTES = 8 << 20;
 
+  /**
+   * Part of the heap that the largest body of a response takes: while it is read, its bytes, its
+   * text, what is parsed and what is decoded from that are in memory together.
+   */
+  private static final int HEAP_SHARE_DIVISOR = 16;
+
+  // As for requests that a node receives.
+  private static final Http1Config CONFIG =
+      Http1Config.custom().setMaxHeaderCount(128).setMaxLineLength(16_384).build();
+
   private final Endpoint endpoint;
   private final int timeoutMillis;
+  private final int maxBodyBytes;
 
   /**
    * Creates a client.
@@ -64,8 +76,30 @@
    * @param timeoutMillis maximum time to wait for data of the response, in milliseconds
    */
   public ControlClient(Endpoint endpoint, int timeoutMillis) {
+    this(endpoint, timeoutMillis, bodyLimit(Runtime.getRuntime().maxMemory()));
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param endpoint the server
+   * @param timeoutMillis maximum time to wait for data of the response, in milliseconds
+   * @param maxBodyBytes largest body of a response, in bytes
+   */
+  public ControlClient(Endpoint endpoint, int timeoutMillis, int maxBodyBytes) {
     this.endpoint = endpoint;
     this.timeoutMillis = timeoutMillis;
+    this.maxBodyBytes = maxBodyBytes;
+  }
+
+  /**
+   * Returns the largest body of a response that a process can read besides its other work.
+   *
+   * @param maxHeapBytes the bound of its heap, in bytes
+   * @return the number of bytes
+   */
+  public static int bodyLimit(long maxHeapBytes) {
+    return (int) Math.min(MAX_BODY_BYTES, maxHeapBytes / HEAP_SHARE_DIVISOR);
   }
 
   /**
@@ -107,6 +141,15 @@
     }
   }
 
+  /** Thrown if the body of a response is larger than this process can read. */
+  public static final class BodyTooLargeException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    BodyTooLargeException(int maxBodyBytes) {
+      super("the body of the response exceeds " + maxBodyBytes + " bytes");
+    }
+  }
+
   /**
    * Sends a GET request.
    *
@@ -134,7 +177,7 @@
 
   private Reply execute(ClassicHttpRequest request) throws IOException {
     request.setHeader("Host", endpoint.toString());
-    ClientConnection connection = new ClientConnection();
+    ClientConnection connection = new ClientConnection(CONFIG);
     try (Socket socket = connect()) {
       connection.bind(socket);
       connection.setSocketTimeout(Timeout.ofMilliseconds(timeoutMillis));
@@ -151,13 +194,13 @@
     }
   }
 
-  private static byte[] readBody(HttpEntity entity) throws IOException {
+  private byte[] readBody(HttpEntity entity) throws IOException {
     if (entity == null) {
       return new byte[0];
     }
-    byte[] body = entity.getContent().readNBytes(MAX_BODY_BYTES + 1);
-    if (body.length > MAX_BODY_BYTES) {
-      throw new IOException("the body of the response exceeds " + MAX_BODY_BYTES + " bytes");
+    byte[] body = entity.getContent().readNBytes(maxBodyBytes + 1);
+    if (body.length > maxBodyBytes) {
+      throw new BodyTooLargeException(maxBodyBytes);
     }
     return body;
   }
