--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -1,8 +1,6 @@
 package org.amaranthmoor.daemon;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -31,6 +29,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.node.EventLoops;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.LeaveExchange;
 import org.amaranthmoor.daemon.node.NodeIdentity;
@@ -68,6 +67,7 @@
 import org.amaranthmoor.node.GossipTimings;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.node.MemoryPressure;
 import org.amaranthmoor.platform.AnnouncedTarget;
 import org.amaranthmoor.platform.ClusterState;
 import org.amaranthmoor.platform.PlatformLog;
@@ -97,6 +97,7 @@
   private static final long SLOW_TICK_MILLIS = 1_000;
   private static final long DRAIN_NOTICE_MILLIS = 1_000;
   private static final long IDLE_POLL_MILLIS = 20;
+  private static final Optional<String> EVENT_LOOP_ENDED = Optional.of("the event loop ended");
 
   /** Time before the drain limit by which all calls have their responses, in milliseconds. */
   private static final long ANSWER_RESERVE_MILLIS = 100;
@@ -106,13 +107,13 @@
   private final EventLog log;
   private final FailureLoggingRunner tasks;
   private final NodeIdentity identity;
+  private final MemoryPressure memoryPressure = new MemoryPressure();
   private final NodeMetrics metrics = new NodeMetrics();
   private final StateHolder stateHolder = new StateHolder();
   private final Membership membership;
   private final CrashLedger crashLedger = new CrashLedger();
   private final SuspicionExchange suspicions;
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
@@ -150,7 +151,8 @@
     this.settings = settings;
     this.time = time;
     this.log = log;
-    this.tasks = new FailureLoggingRunner(log);
+    this.tasks = new FailureLoggingRunner(log, this::onError);
+    this.group = EventLoops.create(tasks);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
@@ -242,6 +244,10 @@
             new LeaveExchange(membership, runs -> {}),
             metrics,
             time);
+    metrics.registerCounter(
+        "amaranthmoor.memory.errors",
+        "Failures for want of memory that this node survived",
+        memoryPressure::errors);
     this.callerListener =
         new HttpListener(
                 HttpListener.open(address(settings.callerPort())),
@@ -345,7 +351,8 @@
 
   private void schedulePeriodically(Runnable task, long periodMillis) {
     var unused =
-        scheduler.scheduleWithFixedDelay(task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+        scheduler.scheduleWithFixedDelay(
+            () -> tasks.run(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
   }
 
   private void sendSyncRequest(Endpoint peer) {
@@ -405,7 +412,7 @@
 
   private void onPeerOffset(long offset) {
     if (offset > stateHolder.current().offset() && !logFollower.available()) {
-      executor.execute(this::readStateFromPeer);
+      executor.execute(() -> tasks.run(this::readStateFromPeer));
     }
   }
 
@@ -447,7 +454,7 @@
         () -> {
           ClusterState state = stateHolder.current();
           views.rebuild(new ReleaseNoteRoutingSource(state, membership));
-          executor.execute(this::announceIfMissing);
+          executor.execute(() -> tasks.run(this::announceIfMissing));
           leaseRenewer.renewAll();
           evictor.dueEvictions(state).forEach(this::evict);
           List<NodeName> reachable =
@@ -477,9 +484,31 @@
     if (draining) {
       return "draining";
     }
+    if (memoryPressure.isShort(time.nanos())) {
+      return "short of memory";
+    }
     return views.current().isPresent() ? "" : "no configuration yet";
   }
 
+  /** {@return the metrics of this node} */
+  public NodeMetrics metrics() {
+    return metrics;
+  }
+
+  /**
+   * Records a failure that this node survived.
+   *
+   * @param error the failure
+   */
+  public void onError(Throwable error) {
+    memoryPressure.onError(error, time.nanos());
+  }
+
+  /** {@return why this node cannot serve any more although it was not stopped, or empty} */
+  public Optional<String> failure() {
+    return group.isShuttingDown() && !closed.get() ? EVENT_LOOP_ENDED : Optional.empty();
+  }
+
   /**
    * Stops as planned: the target side refuses new requests at once, the node announces its leave,
    * serves callers until they have had notice of it, lets requests in progress end, and closes.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -1,8 +1,6 @@
 package org.amaranthmoor.daemon.mesh;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +29,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.daemon.node.EventLoops;
 import org.amaranthmoor.daemon.node.GossipSocket;
 import org.amaranthmoor.daemon.node.LeaveExchange;
 import org.amaranthmoor.daemon.node.NodeIdentity;
@@ -60,6 +59,7 @@
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.MemberChanges;
 import org.amaranthmoor.node.Membership;
+import org.amaranthmoor.node.MemoryPressure;
 import org.amaranthmoor.node.SourceEpochTracker;
 import org.amaranthmoor.target.Admission;
 import org.amaranthmoor.target.ColdStart;
@@ -135,11 +135,14 @@
 
   private static final int INITIAL_SLOTS = 1;
 
+  private static final Optional<String> EVENT_LOOP_ENDED = Optional.of("the event loop ended");
+
   private final MeshSettings settings;
   private final TimeSource time;
   private final EventLog log;
   private final FailureLoggingRunner tasks;
   private final NodeIdentity identity;
+  private final MemoryPressure memoryPressure = new MemoryPressure();
   private final NodeMetrics metrics = new NodeMetrics();
   private final ConfigHolder configHolder = new ConfigHolder();
   private final ConfigReadPolicy readPolicy;
@@ -149,8 +152,7 @@
   private final CrashLedger crashLedger = new CrashLedger();
   private final SuspicionExchange suspicions;
   private final LeaveExchange leaves;
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final LoadShedder shedder;
@@ -175,10 +177,14 @@
   // This node's part of the retries that all nodes together may save up beyond the retry share.
   private volatile int retryBurst;
   private long lastViewHash;
+  // Whether what this node routes by and announces lacks a change that is in force.
+  private volatile boolean viewsOutdated;
   private final MemberChanges memberChanges = new MemberChanges();
   private long nextPeerSearchNanos;
   private long lastTickNanos;
   private boolean overloaded;
+  // Created once, because a tick that fails must not end the schedule.
+  private final Runnable tick = this::tick;
   // The newest epoch of the source that handleEpochChange has processed.
   private SourceEpoch handledEpoch = SourceEpoch.UNKNOWN;
 
@@ -211,7 +217,8 @@
     this.retryBurst = retryBurstFor(1);
     this.time = time;
     this.log = log;
-    this.tasks = new FailureLoggingRunner(log);
+    this.tasks = new FailureLoggingRunner(log, this::onError);
+    this.group = EventLoops.create(tasks);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
     this.membership =
         new Membership(
@@ -332,6 +339,10 @@
         configHolder::version,
         time,
         log);
+    metrics.registerCounter(
+        "amaranthmoor.memory.errors",
+        "Failures for want of memory that this node survived",
+        memoryPressure::errors);
     this.callerListener =
         new HttpListener(
                 callerSocket,
@@ -477,7 +488,7 @@
     lastTickNanos = time.nanos();
     var unused =
         scheduler.scheduleWithFixedDelay(
-            this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            () -> tasks.run(tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     log.info(
         "node-started",
         () ->
@@ -512,7 +523,21 @@
 
   /** {@return whether callers may send requests here} */
   public boolean ready() {
-    return !stopping && views.current().isPresent();
+    return !stopping && views.current().isPresent() && !memoryPressure.isShort(time.nanos());
+  }
+
+  /**
+   * Records a failure that this node survived.
+   *
+   * @param error the failure
+   */
+  public void onError(Throwable error) {
+    memoryPressure.onError(error, time.nanos());
+  }
+
+  /** {@return why this node cannot serve any more although it was not stopped, or empty} */
+  public Optional<String> failure() {
+    return group.isShuttingDown() && !closed.get() ? EVENT_LOOP_ENDED : Optional.empty();
   }
 
   // A target reports as soon as it has started. After a power loss this is before the node has its
@@ -582,6 +607,7 @@
   private boolean putInForce(RoutingConfig config, String source) {
     boolean isNew = configHolder.advance(config);
     if (isNew) {
+      viewsOutdated = true;
       membership.setConfigOffset(config.version());
       rebuildViews();
       log.info(
@@ -600,6 +626,7 @@
   }
 
   private synchronized void rebuildViews() {
+    viewsOutdated = true;
     configHolder
         .current()
         .ifPresent(
@@ -610,6 +637,16 @@
                         membership,
                         registry.servedService(),
                         evacuatedZones.zones(time.nanos()))));
+    viewsOutdated = false;
+  }
+
+  // Repeats what a failure kept from being applied, as nothing else may change for a long time.
+  private void applyMissedChanges() {
+    if (viewsOutdated) {
+      membership.setConfigOffset(configHolder.version());
+      membership.setEvacuatedZones(evacuatedZones.state());
+      rebuildViews();
+    }
   }
 
   private boolean isOwnZoneEvacuated(long nowNanos) {
@@ -627,6 +664,9 @@
               evacuatedZones.onChanges(
                   changes.evacuated(), position.epoch(), position.offset(), now);
         };
+    if (changed) {
+      viewsOutdated = true;
+    }
     membership.setEvacuatedZones(evacuatedZones.state());
     if (changed) {
       applyEvacuatedZones("feed");
@@ -637,6 +677,9 @@
   private void onPeerEvacuatedZones(GossipSocket.PeerConfig peer) {
     EvacuatedZones.State before = evacuatedZones.state();
     boolean changed = evacuatedZones.onState(peer.evacuatedZones(), time.nanos());
+    if (changed) {
+      viewsOutdated = true;
+    }
     if (!evacuatedZones.state().equals(before)) {
       membership.setEvacuatedZones(evacuatedZones.state());
     }
@@ -688,7 +731,6 @@
     if (newest.equals(before)) {
       return;
     }
-    handledEpoch = newest;
     membership.setSourceEpoch(newest);
     if (before.known()) {
       int nodes = membership.members().size();
@@ -708,6 +750,8 @@
       directory.rewriteAfter(delayNanos);
       gossip.send(membership.configAnnouncements(false));
     }
+    // Last, so that the next tick repeats what has failed.
+    handledEpoch = newest;
   }
 
   private void announceOwnState() {
@@ -746,6 +790,7 @@
                 .checkLiveness()
                 .forEach(address -> log.warn("link-silent", () -> "peer=" + address.node())));
     tasks.run(this::handleMemberChanges);
+    tasks.run(this::applyMissedChanges);
     tasks.run(this::contactPeersIfAlone);
   }
 
@@ -769,7 +814,6 @@
   private void handleMemberChanges() {
     long viewHash = membership.viewHash();
     if (viewHash != lastViewHash) {
-      lastViewHash = viewHash;
       List<Member> members = membership.members();
       retryBurst = retryBurstFor(members.size());
       readPolicy.onZoneMembers(
@@ -780,6 +824,8 @@
       logChanges(members);
       rebuildViews();
       links.closeStale(membership);
+      // Last, so that the next tick repeats what has failed.
+      lastViewHash = viewHash;
     }
   }
 
