Handle no frame of a link after a failure

Callers saw answers in chunks, complete in form, that lacked a part of the target's body; a target would have got such an upload.

Cause: a frame that cannot be decoded or handled reaches exceptionCaught, which reported the failure first and then closed the channel through its handlers. The frames that the same read had received were still handled after that, so the last one ended a body without the lost part. A report that failed, as every allocation does on a full heap, left the channel open for good. A failed settlement left the other streams of the link without an outcome.

Change: both ends of a link share LinkHandler. The first failure stops the handling of frames, closes the channel directly, without the compression that would first write its end, by force if that fails; then ends what depends on the link, and only then is reported, once. Each stream ends on its own: a settlement that cannot be started leaves the outcome unknown, a cancellation that cannot be passed on runs at once.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -3,9 +3,6 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -34,7 +31,7 @@
  * when the connection is lost, every open stream completes with an outcome. Safe for use by several
  * threads; frames arrive on the event loop.
  */
-final class PeerLink extends SimpleChannelInboundHandler<Frame> {
+final class PeerLink extends LinkHandler {
 
   /** Receives the events of a link. */
   interface Owner {
@@ -64,6 +61,10 @@
 
   private static final long NO_PROBE = Long.MIN_VALUE;
 
+  private static final Outcome<CallResponse> LINK_LOST =
+      new Outcome.Unknown<>(
+          ResultCode.LINK_LOST, "the link to the target side was lost after the request was sent");
+
   private final PeerAddress address;
   private final Hello hello;
   private final Owner owner;
@@ -77,6 +78,7 @@
   private volatile long lastReceivedNanos;
   private volatile long probeSentNanos = NO_PROBE;
   private volatile boolean lost;
+  private int streamsAtLoss;
 
   PeerLink(PeerAddress address, Hello hello, Owner owner) {
     this.address = address;
@@ -214,7 +216,7 @@
   }
 
   @Override
-  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+  void onFrame(ChannelHandlerContext context, Frame frame) {
     lastReceivedNanos = owner.time().nanos();
     switch (frame.getBodyCase()) {
       case REFUSED -> {
@@ -291,38 +293,44 @@
   }
 
   @Override
-  public void channelInactive(ChannelHandlerContext context) {
+  void onLost() {
+    if (!lost) {
+      streamsAtLoss = streams.size();
+    }
     lost = true;
-    queries
-        .values()
-        .forEach(
-            q ->
-                q.completeExceptionally(
-                    new java.io.IOException("the link was lost before the reply arrived")));
-    List<OutboundStream> open = new ArrayList<>(streams.values());
-    for (OutboundStream stream : open) {
+    for (OutboundStream stream : streams.values()) {
       if (removeStream(stream)) {
         endLost(stream);
       }
     }
+    for (CompletableFuture<Frame> query : queries.values()) {
+      query.completeExceptionally(
+          new java.io.IOException("the link was lost before the reply arrived"));
+    }
   }
 
+  // A settlement that cannot be started leaves it unknown whether the request has run.
   private void endLost(OutboundStream stream) {
-    if (stream.idempotent() || stream.completed()) {
-      stream.onLinkLost(linkLostOutcome());
-    } else {
-      owner.settleLost(this, stream);
+    boolean settles = false;
+    try {
+      if (!stream.idempotent() && !stream.completed()) {
+        owner.settleLost(this, stream);
+        settles = true;
+      }
+    } catch (Error | RuntimeException e) {
+      // Handled below, as whatever is allocated here might fail again.
+    }
+    if (!settles) {
+      stream.onLinkLost(LINK_LOST);
     }
   }
 
   static Outcome<CallResponse> linkLostOutcome() {
-    return new Outcome.Unknown<>(
-        ResultCode.LINK_LOST, "the link to the target side was lost after the request was sent");
+    return LINK_LOST;
   }
 
   @Override
-  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    owner.onFailure(address, streams.size(), cause);
-    context.close();
+  void onFailure(Throwable cause) {
+    owner.onFailure(address, streamsAtLoss, cause);
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.Map;
 import java.util.Optional;
@@ -104,13 +103,13 @@
     serverChannel.close().syncUninterruptibly();
   }
 
-  private final class Connection extends SimpleChannelInboundHandler<Frame> {
+  private final class Connection extends LinkHandler {
 
     private final Map<Long, InboundStream> streams = new ConcurrentHashMap<>();
     private Optional<ConnectionId> id = Optional.empty();
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    void onFrame(ChannelHandlerContext context, Frame frame) {
       switch (frame.getBodyCase()) {
         case HELLO -> onHello(frame.getHello());
         case OPEN_CALL -> onOpenCall(context.channel(), frame.getOpenCall());
@@ -218,13 +217,22 @@
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext context) {
+    void onLost() {
+      streams.values().forEach(this::cancel);
       id.ifPresent(connection -> ledger.onDisconnected(connection, time.nanos()));
-      streams.values().forEach(stream -> executor.execute(stream::cancel));
+    }
+
+    // On another thread where possible, as closing the connection to the target may block.
+    private void cancel(InboundStream stream) {
+      try {
+        executor.execute(stream::cancel);
+      } catch (Error | RuntimeException e) {
+        stream.cancel();
+      }
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    void onFailure(Throwable cause) {
       metrics.countLinkFailure();
       log.warn(
           "link-failed",
@@ -235,7 +243,6 @@
                   + streams.size()
                   + " error="
                   + EventLog.quote(cause.toString()));
-      context.close();
     }
   }
 }
