State the length of a body between nodes in its last message

Callers saw answers in chunks, complete in form, that lacked a part of the target's body; a target would have got such an upload.

Cause: the last Data message of a stream ended the body whatever had arrived before. A message that is lost without a failure of the link that both sides notice, as when neither the message nor the report of its failure can be allocated, left a body with a hole that ended well.

Change: the last Data message states the number of body bytes in all Data messages of the stream, and the receiver fails a body that differs. Earlier builds skip the field, and a message without it is taken as before.

Evidence: LostFrameTests drops a message between two nodes; on the old code both the answer and the upload without it end well.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -1,9 +1,11 @@
 package org.amaranthmoor.daemon.node;
 
+import com.google.protobuf.UnknownFieldSet;
 import com.google.protobuf.UnsafeByteOperations;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.HeaderField;
@@ -49,6 +51,13 @@
 
   private static final long NANOS_PER_MICRO = 1_000;
 
+  /**
+   * Field of a last Data message: the number of body bytes in all Data messages of the stream. It
+   * is read and written as {@code optional uint64 total_bytes = 4} would be; earlier builds skip
+   * it.
+   */
+  private static final int TOTAL_BYTES_FIELD = 4;
+
   private Frames() {}
 
   static Frame openCall(
@@ -128,16 +137,36 @@
     };
   }
 
-  static Frame data(long stream, byte[] bytes, boolean last) {
+  static Frame data(long stream, byte[] bytes) {
     Data data =
         Data.newBuilder()
             .setStream(stream)
             .setBytes(UnsafeByteOperations.unsafeWrap(bytes))
-            .setLast(last)
             .build();
     return Frame.newBuilder().setData(data).build();
   }
 
+  static Frame lastData(long stream, byte[] bytes, long totalBytes) {
+    UnknownFieldSet.Field total = UnknownFieldSet.Field.newBuilder().addVarint(totalBytes).build();
+    Data data =
+        Data.newBuilder()
+            .setStream(stream)
+            .setBytes(UnsafeByteOperations.unsafeWrap(bytes))
+            .setLast(true)
+            .setUnknownFields(
+                UnknownFieldSet.newBuilder().addField(TOTAL_BYTES_FIELD, total).build())
+            .build();
+    return Frame.newBuilder().setData(data).build();
+  }
+
+  /**
+   * {@return the number of bytes of the body that a last message states, or empty if it does not}
+   */
+  static OptionalLong totalBytes(Data data) {
+    List<Long> values = data.getUnknownFields().getField(TOTAL_BYTES_FIELD).getVarintList();
+    return values.isEmpty() ? OptionalLong.empty() : OptionalLong.of(values.getLast());
+  }
+
   static Frame credit(long stream, int bytes) {
     return Frame.newBuilder()
         .setCredit(Credit.newBuilder().setStream(stream).setBytes(bytes))
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -30,6 +30,7 @@
   private final Channel channel;
   private final TargetSide targetSide;
   private final BodyPipe requestBody;
+  private final ReceivedBody receivedBody;
   private final SendWindow sendWindow;
   private final InboundCall call;
 
@@ -47,14 +48,12 @@
     this.sendWindow = new SendWindow(deadline);
     this.requestBody =
         new BodyPipe(Integer.MAX_VALUE, deadline, bytes -> send(Frames.credit(id, bytes)));
+    this.receivedBody = new ReceivedBody(requestBody);
     this.call = new InboundCall(request, requestBody, handOver);
   }
 
   void onData(Data data) {
-    requestBody.offer(data.getBytes().toByteArray());
-    if (data.getLast()) {
-      requestBody.finish();
-    }
+    receivedBody.onData(data);
   }
 
   void onCredit(int bytes) {
@@ -109,6 +108,7 @@
 
   private void sendBody(InputStream body) throws IOException, InterruptedException {
     byte[] buffer = new byte[Frames.MAX_DATA_BYTES];
+    long totalBytes = 0;
     int count = body.read(buffer);
     while (count >= 0) {
       if (!sendWindow.acquire(count)) {
@@ -116,10 +116,11 @@
             "the entry side cancelled the request, its link was lost, or it did not read the"
                 + " response before the deadline");
       }
-      send(Frames.data(id, Arrays.copyOf(buffer, count), false));
+      send(Frames.data(id, Arrays.copyOf(buffer, count)));
+      totalBytes += count;
       count = body.read(buffer);
     }
-    send(Frames.data(id, new byte[0], true));
+    send(Frames.lastData(id, new byte[0], totalBytes));
   }
 
   private void fail(String detail) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -1,5 +1,6 @@
 package org.amaranthmoor.daemon.node;
 
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -32,6 +33,8 @@
   private final CompletableFuture<Outcome<CallResponse>> outcome = new CompletableFuture<>();
   private final SendWindow sendWindow;
   private final BodyPipe responseBody;
+  private final ReceivedBody receivedBody;
+  private long sentBytes;
 
   OutboundStream(long id, PeerLink link, boolean idempotent, Deadline deadline) {
     this.id = id;
@@ -40,6 +43,7 @@
     this.sendWindow = new SendWindow(deadline);
     this.responseBody =
         new BodyPipe(Integer.MAX_VALUE, deadline, bytes -> link.send(Frames.credit(id, bytes)));
+    this.receivedBody = new ReceivedBody(responseBody);
   }
 
   long id() {
@@ -73,11 +77,15 @@
       if (!sendWindow.acquire(to - from)) {
         return false;
       }
-      byte[] chunk = java.util.Arrays.copyOfRange(bytes, from, to);
-      link.send(Frames.data(id, chunk, last && to == bytes.length));
+      byte[] chunk = Arrays.copyOfRange(bytes, from, to);
+      sentBytes += chunk.length;
+      link.send(
+          last && to == bytes.length
+              ? Frames.lastData(id, chunk, sentBytes)
+              : Frames.data(id, chunk));
     }
     if (bytes.length == 0 && last) {
-      link.send(Frames.data(id, bytes, true));
+      link.send(Frames.lastData(id, bytes, sentBytes));
     }
     return !outcome.isDone();
   }
@@ -125,11 +133,10 @@
   }
 
   void onData(Frame frame) {
-    responseBody.offer(frame.getData().getBytes().toByteArray());
     if (frame.getData().getLast()) {
       link.removeStream(this);
-      responseBody.finish();
     }
+    receivedBody.onData(frame.getData());
   }
 
   /** Completes the request with the outcome that was determined after the link was lost. */
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkCompressionTests.java
@@ -44,7 +44,7 @@
   void decodesLargeFramesThatCompressWellAndArriveTogether(int frames) {
     EmbeddedChannel entry = channel(new LinkCompression.Initiator());
     EmbeddedChannel target = channel(new LinkCompression.Detector());
-    Frame frame = Frames.data(1, new byte[Frames.MAX_DATA_BYTES], false);
+    Frame frame = Frames.data(1, new byte[Frames.MAX_DATA_BYTES]);
     ByteBuf together = Unpooled.buffer();
     for (int i = 0; i < frames; i++) {
       entry.writeOutbound(frame);
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LostFrameTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LostFrameTests.java
@@ -28,7 +28,9 @@
   /** How a frame is lost. */
   enum Loss {
     /** The receiver can't decode it. */
-    UNDECODABLE
+    UNDECODABLE,
+    /** The receiver never gets it. */
+    DROPPED
   }
 
   // Loses the second frame that carries bytes of a body.
@@ -41,6 +43,7 @@
       }
       return switch (loss) {
         case UNDECODABLE -> Optional.of(new byte[] {-1, -1, -1});
+        case DROPPED -> Optional.empty();
       };
     };
   }
