End a request on both sides of a link when its thread fails

Callers waited until their deadline for requests whose thread at the target side had ended by an Error, after the target had run them.

Cause: an Error while a response was sent, such as in building its head, ended the thread without an outcome for the entry side; the body of the response, which holds the target's slot, was closed only if its head had been sent. At the entry side, a frame or a settlement that failed left a stream without an outcome, or the target waiting for the rest of a body.

Change: whatever ends the thread of a request, the entry side gets "failed", which is no refusal, or the link closes if not even that can be sent; the body is closed in each case. A frame that cannot be sent closes its link. A settlement that fails leaves the outcome unknown. Failures release first and allocate less: outcomes of lost links are constants. A link is closed without passing through the compression, which would wait for a silent peer to read.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
@@ -6,7 +6,6 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Optional;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntConsumer;
@@ -31,7 +30,8 @@
   private int bufferedBytes;
   private boolean finished;
   private boolean closed;
-  private Optional<String> failure = Optional.empty();
+  private boolean failed;
+  private String failure = "";
 
   /**
    * Creates an empty pipe.
@@ -77,7 +77,7 @@
         }
         var unused = changed.awaitNanos(deadline.remainingNanos());
       }
-      if (closed || failure.isPresent()) {
+      if (closed || failed) {
         return false;
       }
       add(bytes);
@@ -108,7 +108,7 @@
   }
 
   private boolean isFull() {
-    return bufferedBytes >= capacityBytes && !closed && failure.isEmpty();
+    return bufferedBytes >= capacityBytes && !closed && !failed;
   }
 
   private void add(byte[] bytes) {
@@ -139,7 +139,8 @@
     lock.lock();
     try {
       if (!finished) {
-        failure = Optional.of(reason);
+        failed = true;
+        failure = reason;
         changed.signalAll();
       }
     } finally {
@@ -191,8 +192,8 @@
 
   private void awaitData() throws IOException {
     while (chunks.isEmpty() && !finished) {
-      if (failure.isPresent()) {
-        throw new IOException(failure.get());
+      if (failed) {
+        throw new IOException(failure);
       }
       if (closed) {
         throw new IOException("cannot read the body because it was closed");
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -66,8 +66,24 @@
     call.cancel();
   }
 
-  /** Runs the request and sends its response. */
+  /**
+   * Runs the request and sends its response. The entry side gets an outcome whatever fails, or
+   * loses the link.
+   */
   void run() {
+    boolean ended = false;
+    try {
+      respond();
+      ended = true;
+    } finally {
+      sendWindow.close();
+      if (!ended) {
+        breakOff();
+      }
+    }
+  }
+
+  private void respond() {
     switch (runCall()) {
       case Outcome.NotRun<CallResponse> notRun ->
           send(Frames.refused(id, notRun, targetSide.status()));
@@ -77,32 +93,47 @@
     }
   }
 
-  // An unexpected failure must not leave the entry side without an outcome.
   private Outcome<CallResponse> runCall() {
-    boolean ended = false;
     try {
-      Outcome<CallResponse> outcome = targetSide.run(call);
-      ended = true;
-      return outcome;
+      return targetSide.run(call);
     } finally {
       requestBody.close();
-      if (!ended) {
-        fail("the target side failed unexpectedly");
+    }
+  }
+
+  private void breakOff() {
+    boolean sent = false;
+    try {
+      fail("the target side failed unexpectedly");
+      sent = true;
+    } finally {
+      if (!sent) {
+        LinkHandler.close(channel);
       }
     }
   }
 
   private void sendResponse(CallResponse response) {
+    switch (response.body()) {
+      case CallResponse.Body.Buffered buffered -> sendHead(response);
+      case CallResponse.Body.Streamed streamed -> sendStreamed(response, streamed);
+    }
+  }
+
+  private void sendHead(CallResponse response) {
     send(Frames.responseHead(id, response, targetSide.status()));
-    if (response.body() instanceof CallResponse.Body.Streamed streamed) {
-      try (InputStream body = streamed.stream()) {
-        sendBody(body);
-      } catch (IOException e) {
-        fail(String.valueOf(e.getMessage()));
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        fail("the response was interrupted because the target side is stopping");
-      }
+  }
+
+  // The body holds the slot of the target until it is closed.
+  private void sendStreamed(CallResponse response, CallResponse.Body.Streamed streamed) {
+    try (InputStream body = streamed.stream()) {
+      sendHead(response);
+      sendBody(body);
+    } catch (IOException e) {
+      fail(String.valueOf(e.getMessage()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      fail("the response was interrupted because the target side is stopping");
     }
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/LinkHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/LinkHandler.java
@@ -61,6 +61,15 @@
     }
   }
 
+  /** Closes a channel as {@link #closeNow} does, from any thread. */
+  static void close(Channel channel) {
+    if (channel.eventLoop().inEventLoop()) {
+      closeNow(channel);
+    } else {
+      channel.eventLoop().execute(() -> closeNow(channel));
+    }
+  }
+
   /**
    * Closes a channel without passing the close through its handlers, of which the compression would
    * wait until the peer has read all that was sent. Called on the event loop.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -27,6 +27,10 @@
  */
 final class OutboundStream implements Exchange {
 
+  private static final Outcome<CallResponse> CANCELLED =
+      new Outcome.Unknown<>(
+          ResultCode.DEADLINE_AFTER_START, "the entry side cancelled the request");
+
   private final long id;
   private final PeerLink link;
   private final boolean idempotent;
@@ -70,8 +74,22 @@
     return sendWindow.awaitCredit(MAX_SEND_BYTES, nanos);
   }
 
+  // A body that cannot be sent to its end must not leave the target waiting for the rest.
   @Override
   public boolean send(byte[] bytes, boolean last) throws InterruptedException {
+    boolean ended = false;
+    try {
+      boolean accepted = sendAll(bytes, last);
+      ended = true;
+      return accepted;
+    } finally {
+      if (!ended) {
+        cancel();
+      }
+    }
+  }
+
+  private boolean sendAll(byte[] bytes, boolean last) throws InterruptedException {
     for (int from = 0; from < bytes.length; from += Frames.MAX_DATA_BYTES) {
       int to = Math.min(bytes.length, from + Frames.MAX_DATA_BYTES);
       if (!sendWindow.acquire(to - from)) {
@@ -92,14 +110,13 @@
 
   @Override
   public void cancel() {
-    if (link.removeStream(this)) {
-      link.send(Frames.cancel(id));
-    }
+    boolean open = link.removeStream(this);
     sendWindow.close();
     responseBody.close();
-    outcome.complete(
-        new Outcome.Unknown<>(
-            ResultCode.DEADLINE_AFTER_START, "the entry side cancelled the request"));
+    outcome.complete(CANCELLED);
+    if (open) {
+      link.send(Frames.cancel(id));
+    }
   }
 
   void onCredit(int bytes) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -136,8 +136,7 @@
             this,
             request.idempotent(),
             new Deadline(request.deadlineNanos(), owner.time()));
-    streams.put(stream.id(), stream);
-    send(
+    Frame frame =
         Frames.openCall(
             stream.id(),
             request,
@@ -145,25 +144,46 @@
             rememberedNotice,
             suspect,
             configOffset,
-            nowNanos));
-    if (lost && streams.remove(stream.id()) != null) {
-      owner.settleLost(this, stream);
+            nowNanos);
+    streams.put(stream.id(), stream);
+    try {
+      send(frame);
+    } catch (Error | RuntimeException e) {
+      // The link closes, and ends this stream like every other.
+    }
+    if (lost && removeStream(stream)) {
+      endLost(stream);
     }
     return Optional.of(stream);
   }
 
-  /** Sends a frame, which is dropped if the link is not connected. */
+  /**
+   * Sends a frame, which is dropped if the link is not connected. A frame that cannot be sent
+   * closes the link, as its receiver might wait for it.
+   */
   void send(Frame frame) {
-    channel.ifPresent(open -> open.writeAndFlush(frame, open.voidPromise()));
+    Optional<Channel> open = channel;
+    if (open.isEmpty()) {
+      return;
+    }
+    boolean sent = false;
+    try {
+      open.get().writeAndFlush(frame, open.get().voidPromise());
+      sent = true;
+    } finally {
+      if (!sent) {
+        close();
+      }
+    }
   }
 
   /** Sends a query and returns the future of its reply. */
   CompletableFuture<Frame> query(java.util.function.LongFunction<Frame> create) {
     long id = nextId.incrementAndGet();
+    Frame frame = create.apply(id);
     CompletableFuture<Frame> reply = new CompletableFuture<>();
+    reply.whenComplete((received, error) -> queries.remove(id));
     queries.put(id, reply);
-    reply.whenComplete((frame, error) -> queries.remove(id));
-    Frame frame = create.apply(id);
     owner.onControlFrame(frame.getSerializedSize());
     send(frame);
     if (!usable()) {
@@ -179,7 +199,7 @@
   }
 
   void close() {
-    channel.ifPresent(Channel::close);
+    channel.ifPresent(LinkHandler::close);
   }
 
   /** {@return whether requests or queries are pending on this link} */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -363,7 +363,16 @@
 
     @Override
     public void settleLost(PeerLink link, OutboundStream stream) {
-      executor.execute(() -> stream.onLinkLost(settle(link, stream)));
+      executor.execute(() -> settleNow(link, stream));
+    }
+
+    private void settleNow(PeerLink lost, OutboundStream stream) {
+      Outcome<CallResponse> outcome = PeerLink.linkLostOutcome();
+      try {
+        outcome = settle(lost, stream);
+      } finally {
+        stream.onLinkLost(outcome);
+      }
     }
 
     private Outcome<CallResponse> settle(PeerLink lost, OutboundStream stream) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -176,6 +176,16 @@
     }
 
     private void run(long streamId, InboundStream stream) {
+      try {
+        runAndRemove(streamId, stream);
+      } catch (Error | RuntimeException e) {
+        log.warn(
+            "request-failed",
+            () -> "stream=" + streamId + " error=" + EventLog.quote(e.toString()));
+      }
+    }
+
+    private void runAndRemove(long streamId, InboundStream stream) {
       try {
         stream.run();
       } finally {
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkFailureTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkFailureTests.java
@@ -9,6 +9,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.util.Optional;
@@ -183,6 +185,25 @@
     assertTrue(outcome(stream) instanceof Outcome.NotRun<CallResponse>);
   }
 
+  @Test
+  void aFrameThatCannotBeSentEndsTheLink() throws Exception {
+    channel
+        .pipeline()
+        .addLast(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void write(
+                  ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                throw new OutOfMemoryError("injected");
+              }
+            });
+    OutboundStream stream = open();
+
+    assertFalse(channel.isOpen());
+    assertTrue(outcome(stream) instanceof Outcome.NotRun<CallResponse>);
+    assertFalse(link.hasPending());
+  }
+
   @Test
   void aFailureIsReportedOnce() {
     loseFrameByError();
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkedNodes.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkedNodes.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -36,6 +37,7 @@
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.daemon.target.CrashListener;
+import org.amaranthmoor.daemon.target.LocalTarget;
 import org.amaranthmoor.daemon.target.NativeTargetDialect;
 import org.amaranthmoor.daemon.target.StaticTarget;
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
@@ -106,6 +108,23 @@
    * @param response what the target sends to each request
    */
   LinkedNodes(FrameFilter toTarget, FrameFilter toEntry, String response) throws IOException {
+    this(toTarget, toEntry, response, UnaryOperator.identity());
+  }
+
+  /**
+   * Starts both nodes.
+   *
+   * @param toTarget receives the frames to the target side
+   * @param toEntry receives the frames to the entry side
+   * @param response what the target sends to each request
+   * @param localTarget wraps what the target side knows of its target
+   */
+  LinkedNodes(
+      FrameFilter toTarget,
+      FrameFilter toEntry,
+      String response,
+      UnaryOperator<LocalTarget> localTarget)
+      throws IOException {
     CrashLedger crashes = new CrashLedger();
     RequestQuarantine quarantine =
         new RequestQuarantine(crashes, new RequestFingerprinter(Optional.empty()), TIME);
@@ -116,7 +135,7 @@
             "127.0.0.1",
             nodePort,
             group,
-            targetSide(quarantine, metrics),
+            targetSide(localTarget, quarantine, metrics),
             new ExchangeLedger(),
             new NoQueries(),
             new SuspicionExchange(crashes, membership(), TIME, log),
@@ -164,13 +183,14 @@
     return new Membership(self, GossipTimings.standard(), new Random(1), TIME.nanos());
   }
 
-  private TargetSide targetSide(RequestQuarantine quarantine, NodeMetrics metrics) {
+  private TargetSide targetSide(
+      UnaryOperator<LocalTarget> localTarget, RequestQuarantine quarantine, NodeMetrics metrics) {
     KeyOwners.Member self = new KeyOwners.Member(new NodeName("server"), INCARNATION);
     return new TargetSide(
         new Admission(4, 4, RandomGenerator.getDefault(), TIME.nanos()),
         new KeyLedger<>(1, 1, answer -> 0),
         new AtomicReference<>(new KeyOwnership(self)),
-        new StaticTarget(new Endpoint("127.0.0.1", target.getLocalPort())),
+        localTarget.apply(new StaticTarget(new Endpoint("127.0.0.1", target.getLocalPort()))),
         new NativeTargetDialect(),
         new TargetConnectionPool(1, 1_000, TIME),
         new DeadlineWatch(executor),
