Keep the port for links open after an Error

After a full heap a node took no links from other nodes any more, although its process lived and its heap was free again.

Cause: a server channel of Netty closes itself for good when a connection cannot be accepted for any reason but an IOException.

Change: the channel stays open whatever the reason was.

Evidence: ListeningChannelTests throws OutOfMemoryError from the first accept; with the old behaviour the connection is never accepted.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -88,7 +87,7 @@
     this.serverChannel =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(ListeningChannel::new)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
