Open the port for gossip again after an Error

After a full heap a node sent and received no gossip any more, so that the others took it for dead, although its process lived.

Cause: a datagram channel of Netty closes itself for good when a datagram cannot be read for want of memory.

Change: the periodic tick opens the port again if its channel has closed itself. Netty's class is final, so the channel cannot be kept open instead; the membership protocol tolerates the messages that are lost meanwhile.

Evidence: GossipSocketTests makes the allocation of a read throw OutOfMemoryError; without the new step no message arrives afterwards.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -14,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.settings.Endpoint;
 import org.amaranthmoor.model.Names;
@@ -68,7 +70,9 @@
   private final LeaveExchange leaves;
   private final NodeMetrics metrics;
   private final TimeSource time;
-  private final Channel channel;
+  private final Supplier<Channel> bind;
+  private volatile Channel channel;
+  private volatile boolean closing;
 
   /**
    * Binds the UDP port.
@@ -99,18 +103,29 @@
     this.leaves = leaves;
     this.metrics = metrics;
     this.time = time;
-    this.channel =
+    Bootstrap bootstrap =
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
-            .handler(new Receiver())
-            .bind(host, port)
-            .syncUninterruptibly()
-            .channel();
+            .handler(new ReceiverInitializer());
+    this.bind = () -> bootstrap.bind(host, port).syncUninterruptibly().channel();
+    this.channel = bind.get();
   }
 
-  /** Runs the membership protocol and sends the messages that are due. */
+  /** {@return the channel that is in use} */
+  Channel channel() {
+    return channel;
+  }
+
+  /**
+   * Runs the membership protocol and sends the messages that are due. Opens the port again if its
+   * channel has closed itself, as it does after an Error.
+   */
   public void tick() {
+    if (!channel.isOpen() && !closing) {
+      channel = bind.get();
+      metrics.countLinkFailure();
+    }
     send(membership.tick(time.nanos()));
   }
 
@@ -130,9 +145,18 @@
 
   @Override
   public void close() {
+    closing = true;
     channel.close().syncUninterruptibly();
   }
 
+  private final class ReceiverInitializer extends ChannelInitializer<Channel> {
+
+    @Override
+    protected void initChannel(Channel opened) {
+      opened.pipeline().addLast(new Receiver());
+    }
+  }
+
   private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
     @Override
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/GossipSocketTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/GossipSocketTests.java
@@ -3,9 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.lang.reflect.Proxy;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -29,6 +32,7 @@
 import org.amaranthmoor.target.CrashLedger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -86,6 +90,37 @@
     reservedPorts.close();
   }
 
+  /** Guards against a node that is unreachable for good as the first Error has closed its port. */
+  @Test
+  void thePortIsOpenedAgainAfterAnErrorHasClosedIt() throws Exception {
+    Channel channel = socket.channel();
+    channel.config().setAllocator(failingAllocator());
+    try (DatagramSocket sender = new DatagramSocket()) {
+      sender.send(new DatagramPacket(new byte[1], 1, InetAddress.getLoopbackAddress(), port));
+    }
+    assertTrue(channel.closeFuture().await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+    socket.tick();
+
+    send(
+        Gossip.newBuilder()
+            .setKind(Gossip.Kind.ACK)
+            .setSender("peer")
+            .addStates(state("peer", HOST, reservedPorts.reserve()))
+            .build());
+    assertEquals(2, membership.members().size());
+  }
+
+  private static ByteBufAllocator failingAllocator() {
+    return (ByteBufAllocator)
+        Proxy.newProxyInstance(
+            ByteBufAllocator.class.getClassLoader(),
+            new Class<?>[] {ByteBufAllocator.class},
+            (proxy, method, arguments) -> {
+              throw new OutOfMemoryError("injected");
+            });
+  }
+
   private static MemberState state(String name, String host, int memberPort) {
     return MemberState.newBuilder()
         .setNode(name)
