--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ErrorTolerantIoHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ErrorTolerantIoHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoRegistration;
+import java.util.concurrent.locks.LockSupport;
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 
 /**
@@ -15,6 +16,9 @@
  */
 final class ErrorTolerantIoHandler implements IoHandler {
 
+  /** Pause after an error, so that a loop that only fails leaves processor time to others. */
+  private static final long PAUSE_NANOS = 1_000_000L;
+
   private final IoHandler handler;
   private final FailureLoggingRunner failures;
 
@@ -35,6 +39,7 @@
       return handler.run(context);
     } catch (RuntimeException | Error e) {
       failures.onFailure("event-loop-failed", e);
+      LockSupport.parkNanos(PAUSE_NANOS);
       return 0;
     }
   }
