Refuse new calls for a moment after a connection ran out of memory

The listeners survive an OutOfMemoryError of an accept, of a connection and of its handler, but the node did not count as short of memory by it: it said that it was ready, and the next calls failed likewise. The listeners pass each failure on to the node's MemoryPressure.

FailingListenerTests checks that each failure is passed on; it cannot be compiled against the code before.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -252,13 +252,14 @@
         new HttpListener(
                 HttpListener.open(address(settings.callerPort())),
                 callerHandler,
-                ListenerSettings.forCallers(() -> connectionRefusal(callerDialect), time, log))
+                ListenerSettings.forCallers(
+                    () -> connectionRefusal(callerDialect), this::onError, time, log))
             .registerWith(metrics);
     this.adminListener =
         new HttpListener(
                 HttpListener.open(address(settings.adminPort())),
                 new AdminHandler(metrics, this::notReadyReason, this::status),
-                ListenerSettings.forControl("admin", time, log))
+                ListenerSettings.forControl("admin", this::onError, time, log))
             .registerWith(metrics);
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.ToIntFunction;
 import org.amaranthmoor.connection.ConnectionAdmission;
+import org.amaranthmoor.daemon.log.ErrorListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.TimeSource;
@@ -110,7 +111,8 @@
   private static ListenerSettings standardSettings() {
     TimeSource time = TimeSource.system();
     EventLog log = new EventLog(System.getLogger(HttpListener.class.getName()), time);
-    return ListenerSettings.forCallers(ListenerSettings::unavailable, time, log);
+    return ListenerSettings.forCallers(
+        ListenerSettings::unavailable, ErrorListener.NONE, time, log);
   }
 
   /**
@@ -263,6 +265,7 @@
   // The pause gives the process time to free memory or file descriptors if it has run out of them.
   private void onFailedAccept(Throwable failure) {
     acceptFailures.incrementAndGet();
+    settings.errors().onError(failure);
     try {
       connections.closeLongestIdle(settings.time().nanos());
       Thread.sleep(ACCEPT_PAUSE_MILLIS);
@@ -322,7 +325,8 @@
     try (socket) {
       new ConnectionRefusal(socket, settings.time()).send(settings.refusal().get());
     } catch (IOException | RuntimeException | Error e) {
-      // The client is gone, or waits for its response in vain; its request was not read.
+      // The client is gone, or its connection is closed without a response; no request was read.
+      settings.errors().onError(e);
     } finally {
       connections.endRefusal();
     }
@@ -402,6 +406,7 @@
       } catch (RuntimeException | Error e) {
         reset(socket);
         connectionFailures.incrementAndGet();
+        settings.errors().onError(e);
         log.warn(
             "handler-failed",
             () ->
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ListenerSettings.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ListenerSettings.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Supplier;
 import org.amaranthmoor.connection.ConnectionAdmission;
+import org.amaranthmoor.daemon.log.ErrorListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.TimeSource;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -17,6 +18,7 @@
  * @param admission limits of the port's connections
  * @param refusal creates the response to a connection that is refused, which states that no request
  *     of it was or will be run
+ * @param errors receives the failures that end a connection or an accept
  * @param time the clock
  * @param log receives events
  */
@@ -24,6 +26,7 @@
     String name,
     ConnectionAdmission admission,
     Supplier<ClassicHttpResponse> refusal,
+    ErrorListener errors,
     TimeSource time,
     EventLog log) {
 
@@ -35,30 +38,33 @@
    * process.
    *
    * @param refusal creates the response to a connection that is refused
+   * @param errors receives the failures that end a connection or an accept
    * @param time the clock
    * @param log receives events
    * @return the settings
    */
   public static ListenerSettings forCallers(
-      Supplier<ClassicHttpResponse> refusal, TimeSource time, EventLog log) {
+      Supplier<ClassicHttpResponse> refusal, ErrorListener errors, TimeSource time, EventLog log) {
     ConnectionAdmission admission =
         ConnectionAdmission.forCallers(
             Runtime.getRuntime().maxMemory(), ProcessLimits.maxDescriptors());
-    return new ListenerSettings("callers", admission, refusal, time, log);
+    return new ListenerSettings("callers", admission, refusal, errors, time, log);
   }
 
   /**
    * Creates the settings of a port for reports, readiness checks, metrics or operators.
    *
    * @param name name of the port in events and metrics
+   * @param errors receives the failures that end a connection or an accept
    * @param time the clock
    * @param log receives events
    * @return the settings
    */
-  public static ListenerSettings forControl(String name, TimeSource time, EventLog log) {
+  public static ListenerSettings forControl(
+      String name, ErrorListener errors, TimeSource time, EventLog log) {
     ConnectionAdmission admission =
         ConnectionAdmission.forControl(Runtime.getRuntime().maxMemory());
-    return new ListenerSettings(name, admission, ListenerSettings::unavailable, time, log);
+    return new ListenerSettings(name, admission, ListenerSettings::unavailable, errors, time, log);
   }
 
   /** {@return a response that states that the port has too many connections} */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -347,7 +347,8 @@
         new HttpListener(
                 callerSocket,
                 callerHandler,
-                ListenerSettings.forCallers(() -> connectionRefusal(callerDialect), time, log))
+                ListenerSettings.forCallers(
+                    () -> connectionRefusal(callerDialect), this::onError, time, log))
             .registerWith(metrics);
   }
 
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionLimitTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionLimitTests.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.connection.ConnectionAdmission;
+import org.amaranthmoor.daemon.log.ErrorListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.TimeSource;
@@ -68,6 +69,7 @@
                   name,
                   new ConnectionAdmission(CAPACITY, maxRefusals),
                   ListenerSettings::unavailable,
+                  ErrorListener.NONE,
                   time,
                   log))
           .registerWith(metrics);
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
@@ -1,6 +1,7 @@
 package org.amaranthmoor.daemon.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,6 +11,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -31,6 +34,7 @@
 
   private final AtomicBoolean failing = new AtomicBoolean();
   private final AtomicInteger failures = new AtomicInteger();
+  private final Queue<Throwable> errors = new ConcurrentLinkedQueue<>();
   private final EventLog log =
       new EventLog(System.getLogger(getClass().getName()), TimeSource.system());
   private HttpListener listener;
@@ -62,7 +66,7 @@
               }
               trigger.submitResponse(new BasicClassicHttpResponse(204));
             },
-            ListenerSettings.forControl("test", TimeSource.system(), log),
+            ListenerSettings.forControl("test", errors::add, TimeSource.system(), log),
             factory,
             executor);
   }
@@ -98,6 +102,12 @@
     }
   }
 
+  /** The node refuses new calls for a moment if it is short of memory. */
+  private void assertErrorWasReported() {
+    assertEquals(1, errors.size());
+    assertInstanceOf(OutOfMemoryError.class, errors.peek());
+  }
+
   private void assertNoConnectionIsLeft() {
     while (!listener.connectionCounts().equals(new ConnectionTable.Counts(0, 0, 0))) {
       Thread.onSpinWait();
@@ -130,6 +140,7 @@
 
     assertEquals(1, failures.get());
     assertServes();
+    assertErrorWasReported();
     assertEquals(1, listener.acceptFailures());
   }
 
@@ -150,6 +161,7 @@
     }
 
     assertServes();
+    assertErrorWasReported();
     assertNoConnectionIsLeft();
   }
 
@@ -169,6 +181,7 @@
     }
 
     assertServes();
+    assertErrorWasReported();
     assertNoConnectionIsLeft();
   }
 
@@ -182,6 +195,7 @@
     }
 
     assertServes();
+    assertErrorWasReported();
     assertNoConnectionIsLeft();
     assertEquals(0, listener.busyConnections());
   }
