Keep counters that are read from elsewhere counting after a collection

Micrometer refers to the object that provides a counter's value weakly, and NodeMetrics handed it method references that nothing else held. From the first collection of the heap on, such a counter kept its last value: the log lines left out, the calls to the store, and the connections refused and dropped (seen as 0 at a node that had refused thousands).

NodeMetrics now holds the providers.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/metrics/NodeMetrics.java
@@ -8,7 +8,9 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.amaranthmoor.model.ResultCode;
@@ -62,6 +64,8 @@
           .description("Time that requests waited for a slot of the target")
           .serviceLevelObjectives(LATENCY_BUCKETS)
           .register(registry);
+  // Micrometer refers to the providers of counters weakly.
+  private final Queue<LongSupplier> counterValues = new ConcurrentLinkedQueue<>();
   private final Map<ResultCode, Counter> refusals = new ConcurrentHashMap<>();
   private final Map<OutcomeKey, Counter> outcomes = new ConcurrentHashMap<>();
   private final Map<ServiceName, Timer> latencies = new ConcurrentHashMap<>();
@@ -182,6 +186,7 @@
    * @param tags alternating names and values of tags
    */
   public void registerCounter(String name, String description, LongSupplier value, String... tags) {
+    counterValues.add(value);
     FunctionCounter.builder(name, value, LongSupplier::getAsLong)
         .description(description)
         .tags(tags)
