Refuse as many connections with a response as are accepted

Of 1,000 clients at one node, most got a reset instead of a 503 with Retry-After, as a quarter of the capacity may be refused at a time and the rest is dropped; a caller can't distinguish a reset from a request that was run. A connection that is being refused occupies 8 KB at most (worked out from its thread, socket and buffer), so as many may be refused as are accepted, within the same half of the heap.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/connection/ConnectionAdmission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/connection/ConnectionAdmission.java
@@ -21,10 +21,13 @@
   /** Memory of the heap that a connection occupies while its request is served, in bytes. */
   static final long CONNECTION_BYTES = 40 * 1024;
 
-  /** Part of the heap that connections of callers may occupy. */
+  /** Memory of the heap that a connection occupies while it is being refused, in bytes. */
+  static final long REFUSAL_BYTES = 8 * 1024;
+
+  /** Part of the heap that accepted connections of callers may occupy. */
   private static final double CALLER_HEAP_SHARE = 0.3;
 
-  /** Part of the heap that connections of one other port may occupy. */
+  /** Part of the heap that accepted connections of one other port may occupy. */
   private static final double CONTROL_HEAP_SHARE = 0.02;
 
   /** Part of the file descriptors for callers; a request may need another one for its target. */
@@ -32,9 +35,6 @@
 
   private static final int MIN_CAPACITY = 8;
 
-  /** Number of accepted connections for each one that may be refused at the same time. */
-  private static final int CONNECTIONS_PER_REFUSAL = 4;
-
   /**
    * Age from which a connection without any request is idle, in nanoseconds. Until then its first
    * request is assumed to be on its way.
@@ -87,7 +87,7 @@
 
   private static ConnectionAdmission withCapacity(long capacity) {
     int bounded = Math.clamp(capacity, MIN_CAPACITY, Integer.MAX_VALUE);
-    return new ConnectionAdmission(bounded, bounded / CONNECTIONS_PER_REFUSAL);
+    return new ConnectionAdmission(bounded, bounded);
   }
 
   /**
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/connection/ConnectionAdmissionTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/connection/ConnectionAdmissionTests.java
@@ -38,11 +38,16 @@
   @ValueSource(longs = {20, 40, 128, 1024})
   void connectionsOfAllPortsLeaveHalfOfTheHeap(long mebibytes) {
     long heap = mebibytes * MEBIBYTE;
-    long callers = ConnectionAdmission.forCallers(heap, OptionalLong.empty()).capacity();
-    long control = ConnectionAdmission.forControl(heap).capacity();
+    ConnectionAdmission callers = ConnectionAdmission.forCallers(heap, OptionalLong.empty());
+    ConnectionAdmission control = ConnectionAdmission.forControl(heap);
 
-    assertTrue(callers > 10 * control);
-    assertTrue((callers + 3 * control) * ConnectionAdmission.CONNECTION_BYTES <= heap / 2);
+    assertTrue(callers.capacity() > 10 * control.capacity());
+    assertTrue(bytes(callers) + 3 * bytes(control) <= heap / 2);
+  }
+
+  private static long bytes(ConnectionAdmission limits) {
+    return limits.capacity() * ConnectionAdmission.CONNECTION_BYTES
+        + limits.maxRefusals() * ConnectionAdmission.REFUSAL_BYTES;
   }
 
   @Test
@@ -55,7 +60,7 @@
   @Test
   void aTinyHeapStillAllowsSomeConnections() {
     assertEquals(8, ConnectionAdmission.forControl(MEBIBYTE).capacity());
-    assertEquals(2, ConnectionAdmission.forControl(MEBIBYTE).maxRefusals());
+    assertEquals(8, ConnectionAdmission.forControl(MEBIBYTE).maxRefusals());
   }
 
   @Test
