Hold 6 KB of buffers a connection to a target instead of 96 KB

Each connection to a target, a peer's store or a health check had three buffers of 32 KB, HttpCore's default, so that the requests that run at one target filled its node's heap: a running request occupied up to 110 KB there. The buffers are of 2 KB now, as those of callers' connections, and bodies of requests are written in pieces of 16 KB, which bypass them.

The speed of uploads to a target was not measured.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -24,11 +24,14 @@
  */
 public class ClientConnection extends DefaultBHttpClientConnection {
 
+  private static final Http1Config CONFIG =
+      Http1Config.custom().setBufferSize(StreamedEntity.CONNECTION_BUFFER_BYTES).build();
+
   private final CompleteHeadParser<ClassicHttpResponse> parser;
 
   /** Creates a connection that is not bound to a socket yet. */
   public ClientConnection() {
-    this(Http1Config.DEFAULT);
+    this(CONFIG);
   }
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -53,15 +53,9 @@
 
   private static final Timeout IDLE_TIMEOUT = Timeout.ofMinutes(2);
 
-  /**
-   * Size of each of a connection's buffers, in bytes. Bodies bypass them, see {@link
-   * StreamedEntity}.
-   */
-  private static final int BUFFER_BYTES = 2 * 1024;
-
   private static final Http1Config CONFIG =
       Http1Config.custom()
-          .setBufferSize(BUFFER_BYTES)
+          .setBufferSize(StreamedEntity.CONNECTION_BUFFER_BYTES)
           .setMaxHeaderCount(128)
           .setMaxLineLength(16_384)
           .build();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/StreamedEntity.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/StreamedEntity.java
@@ -9,7 +9,7 @@
 import org.apache.hc.core5.http.io.entity.InputStreamEntity;
 
 /**
- * The entity of a response whose body is read from a stream while it is sent.
+ * The entity of a message whose body is read from a stream while it is sent.
  *
  * <p>The body is written in pieces that are larger than the buffer of a connection, so that they
  * bypass it: a connection has a small buffer, because it needs it also while it is idle. Invariant:
@@ -17,6 +17,9 @@
  */
 public final class StreamedEntity extends HttpEntityWrapper {
 
+  /** Size of each buffer of a connection, in bytes. */
+  static final int CONNECTION_BUFFER_BYTES = 2 * 1024;
+
   private static final int MAX_PIECE_BYTES = 16 * 1024;
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -17,6 +17,7 @@
 import org.amaranthmoor.daemon.exchange.DeadlineWatch;
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.HeaderField;
+import org.amaranthmoor.daemon.http.StreamedEntity;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
@@ -28,7 +29,6 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
-import org.apache.hc.core5.http.io.entity.InputStreamEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 
@@ -225,7 +225,7 @@
                   call.remainingBody(), Math.max(0, length - request.bodyPrefix().length)));
     }
     boolean chunked = length < 0;
-    http.setEntity(new InputStreamEntity(body, length, null));
+    http.setEntity(new StreamedEntity(body, length));
     if (chunked) {
       http.setHeader("Transfer-Encoding", "chunked");
     } else {
