Refuse a request that was read while its connection made room

The accepting thread now only shuts down the input of such a connection. Its own thread closes it, or, if it has read bytes of a request, answers 503 with Retry-After, which is true, as nothing of it was handled.

ConnectionLimitTests.refusesARequestThatArrivedWhileItsConnectionWasClosed- ForANewOne fails without the change: the connection ends without a response.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ConnectionTable.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ConnectionTable.java
@@ -12,9 +12,9 @@
 /**
  * The accepted connections of a port, and those that are being refused.
  *
- * <p>Invariants: a connection that was closed for another one serves no further request, see {@link
- * #beginRequest}; a connection on which bytes wait is not closed for another one. Each operation
- * takes constant time, except for {@link #accepted}. Safe for use by several threads.
+ * <p>Invariants: a connection that was retired for another one serves no further request, see
+ * {@link #beginRequest}; a connection on which bytes wait is not retired. Each operation takes
+ * constant time, except for {@link #accepted}. Safe for use by several threads.
  *
  * @param <C> type of the connections
  */
@@ -29,8 +29,11 @@
     /** {@return whether bytes have arrived that were not read} */
     boolean hasBytesWaiting();
 
-    /** Closes the connection. */
-    void close();
+    /**
+     * Ends the connection for another one. A request whose first bytes were read meanwhile is
+     * refused.
+     */
+    void retire();
   }
 
   /**
@@ -79,7 +82,7 @@
         case DROP -> {}
       }
     }
-    replaced.ifPresent(Connection::close);
+    replaced.ifPresent(Connection::retire);
     return decision;
   }
 
@@ -89,12 +92,12 @@
    * @param nowNanos the present
    */
   void closeLongestIdle(long nowNanos) {
-    Optional<C> closed;
+    Optional<C> retired;
     synchronized (this) {
-      closed = longestIdle(nowNanos);
-      closed.ifPresent(this::remove);
+      retired = longestIdle(nowNanos);
+      retired.ifPresent(this::remove);
     }
-    closed.ifPresent(Connection::close);
+    retired.ifPresent(Connection::retire);
   }
 
   private Optional<C> longestIdle(long nowNanos) {
@@ -129,7 +132,7 @@
    * Records that a request begins to arrive on a connection.
    *
    * @param connection the connection
-   * @return whether the request may be read; otherwise the connection was closed for another one
+   * @return whether the request may be served; otherwise the connection was retired meanwhile
    */
   synchronized boolean beginRequest(C connection) {
     kept.remove(connection);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -428,10 +428,12 @@
     }
 
     private void serveRequests(ServerConnection connection) throws IOException, HttpException {
-      while (!closed
-          && connection.isOpen()
-          && connection.isDataAvailable(IDLE_TIMEOUT)
-          && connections.beginRequest(this)) {
+      while (!closed && connection.isOpen() && connection.isDataAvailable(IDLE_TIMEOUT)) {
+        if (!connections.beginRequest(this)) {
+          refusedCount.incrementAndGet();
+          new ConnectionRefusal(socket, settings.time()).send(settings.refusal().get());
+          return;
+        }
         HttpCoreContext context = HttpCoreContext.create();
         context.setAttribute(CONNECTION_ATTRIBUTE, connection);
         service.handleRequest(connection, context);
@@ -457,12 +459,13 @@
       }
     }
 
+    // The thread of this connection, which waits for a request, closes it.
     @Override
-    public void close() {
+    public void retire() {
       try {
-        socket.close();
+        socket.shutdownInput();
       } catch (IOException e) {
-        // The client sees the end of the connection in any case.
+        // The connection was closed meanwhile.
       }
     }
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -25,7 +25,7 @@
  *
  * <p>Used by one thread at a time, except for {@link #inExchange}.
  */
-final class ServerConnection extends DefaultBHttpServerConnection {
+class ServerConnection extends DefaultBHttpServerConnection {
 
   private final CompleteHeadParser<ClassicHttpRequest> parser;
   private volatile Optional<Socket> socket = Optional.empty();
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionLimitTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionLimitTests.java
@@ -13,13 +13,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthmoor.connection.ConnectionAdmission;
 import org.amaranthmoor.daemon.log.ErrorListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.model.TimeSource;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.apache.hc.core5.util.Timeout;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -29,10 +33,14 @@
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final int CAPACITY = 3;
   private static final int MAX_REFUSALS = 100;
+
+  /** Age at which a connection without a request is idle, in nanoseconds. */
+  private static final long UNUSED_NANOS = 10_000_000_000L;
+
   private static final String BLOCKED_PATH = "/blocked";
   private static final String SERVED = "HTTP/1.1 204";
 
-  private final TimeSource time = new StoppedTime();
+  private final SetTime time = new SetTime();
   private final EventLog log = new EventLog(System.getLogger(getClass().getName()), time);
   private final CountDownLatch mayEnd = new CountDownLatch(1);
   private final AtomicInteger handled = new AtomicInteger();
@@ -40,12 +48,14 @@
   private final List<Socket> clients = new ArrayList<>();
   private final HttpListener listener = listen("callers", MAX_REFUSALS);
 
-  /** Keeps the time limits of a refusal from depending on the speed of the machine. */
-  private static final class StoppedTime implements TimeSource {
+  /** Keeps the time limits from depending on the speed of the machine. */
+  private static final class SetTime implements TimeSource {
+
+    private final AtomicLong nanos = new AtomicLong();
 
     @Override
     public long nanos() {
-      return 0;
+      return nanos.get();
     }
 
     @Override
@@ -54,7 +64,33 @@
     }
   }
 
+  /** Pauses after the first bytes of a request have been read. */
+  private static final class PausedConnection extends ServerConnection {
+
+    private final CountDownLatch bytesRead;
+    private final CountDownLatch mayContinue;
+
+    PausedConnection(Http1Config config, CountDownLatch bytesRead, CountDownLatch mayContinue) {
+      super(config);
+      this.bytesRead = bytesRead;
+      this.mayContinue = mayContinue;
+    }
+
+    @Override
+    public boolean isDataAvailable(Timeout timeout) throws IOException {
+      boolean available = super.isDataAvailable(timeout);
+      bytesRead.countDown();
+      awaitUninterrupted(mayContinue);
+      return available;
+    }
+  }
+
   private HttpListener listen(String name, int maxRefusals) {
+    return listen(name, new ConnectionAdmission(CAPACITY, maxRefusals), ServerConnection::new);
+  }
+
+  private HttpListener listen(
+      String name, ConnectionAdmission admission, HttpListener.ConnectionFactory factory) {
     try {
       return new HttpListener(
               HttpListener.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
@@ -65,13 +101,9 @@
                 }
                 trigger.submitResponse(new BasicClassicHttpResponse(204));
               },
-              new ListenerSettings(
-                  name,
-                  new ConnectionAdmission(CAPACITY, maxRefusals),
-                  ListenerSettings::unavailable,
-                  ErrorListener.NONE,
-                  time,
-                  log))
+              new ListenerSettings(name, admission, ListenerSettings::unavailable, ErrorListener.NONE, time, log),
+              factory,
+              Executors.newVirtualThreadPerTaskExecutor())
           .registerWith(metrics);
     } catch (IOException e) {
       throw new AssertionError(e);
@@ -195,6 +227,32 @@
     assertTrue(readHead(second).startsWith(SERVED));
   }
 
+  @Test
+  void refusesARequestThatArrivedWhileItsConnectionWasClosedForANewOne() throws Exception {
+    CountDownLatch bytesRead = new CountDownLatch(1);
+    CountDownLatch mayContinue = new CountDownLatch(1);
+    AtomicInteger created = new AtomicInteger();
+    HttpListener.ConnectionFactory pausesTheFirst =
+        config ->
+            created.getAndIncrement() == 0
+                ? new PausedConnection(config, bytesRead, mayContinue)
+                : new ServerConnection(config);
+    try (HttpListener single = listen("single", new ConnectionAdmission(1, 0), pausesTheFirst)) {
+      Socket replaced = connect(single);
+      send(replaced, "/", 0);
+      bytesRead.await();
+      time.nanos.set(UNUSED_NANOS);
+
+      Socket added = connect(single);
+      send(added, "/", 0);
+      assertTrue(readHead(added).startsWith(SERVED));
+      mayContinue.countDown();
+
+      assertTrue(readHead(replaced).startsWith("HTTP/1.1 503"));
+      assertEquals(1, handled.get());
+    }
+  }
+
   @Test
   void servesRequestsThatArriveTogetherOnOneConnection() throws Exception {
     Socket client = connect(listener);
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionTableTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionTableTests.java
@@ -24,7 +24,7 @@
   private static final class FakeConnection implements ConnectionTable.Connection {
 
     private boolean bytesWaiting;
-    private boolean closed;
+    private boolean retired;
 
     @Override
     public boolean hasBytesWaiting() {
@@ -32,8 +32,8 @@
     }
 
     @Override
-    public void close() {
-      closed = true;
+    public void retire() {
+      retired = true;
     }
   }
 
@@ -85,8 +85,8 @@
 
     assertEquals(REPLACE_IDLE, table.add(added, LATER_NANOS));
 
-    assertTrue(second.closed);
-    assertFalse(first.closed);
+    assertTrue(second.retired);
+    assertFalse(first.retired);
     assertEquals(List.of(first, added), table.accepted());
   }
 
@@ -110,9 +110,9 @@
     first.bytesWaiting = true;
 
     assertEquals(REPLACE_IDLE, table.add(new FakeConnection(), START_NANOS));
-    assertTrue(second.closed);
+    assertTrue(second.retired);
     assertEquals(REFUSE, table.add(new FakeConnection(), START_NANOS));
-    assertFalse(first.closed);
+    assertFalse(first.retired);
   }
 
   @Test
@@ -123,7 +123,7 @@
 
     assertEquals(REFUSE, table.add(new FakeConnection(), START_NANOS));
     assertEquals(REPLACE_IDLE, table.add(new FakeConnection(), LATER_NANOS));
-    assertTrue(unused.closed);
+    assertTrue(unused.retired);
   }
 
   @Test
@@ -134,8 +134,8 @@
     table.closeLongestIdle(LATER_NANOS);
     table.closeLongestIdle(LATER_NANOS);
 
-    assertTrue(idle.closed);
-    assertFalse(active.closed);
+    assertTrue(idle.retired);
+    assertFalse(active.retired);
     assertEquals(new ConnectionTable.Counts(0, 1, 0), table.counts());
   }
 }
