Release what a request holds at the target side after an Error

After a full heap a node refused as overloaded with nothing running: an Error passes each catch of a RuntimeException, so the request kept its slot, its connection, its watch and its entry among the running ones for good, and its idempotency key stayed in progress.

The release is structural now and happens once. A request leaves the admission (queue or slot) on every way out; an exchange ends on every way out of its run and then calls its listener, with an end that needs no memory; the crash detector drops its entry in a finally, and a deferred check that fails does not keep later ones away; a claim of a key always ends. The admission frees a slot before it allocates, gives a waiter its slot and its notification or neither, and notifies the others if one notification fails. A request whose notification is lost all the same is refused after a second and gives its slot back. An Error before the hand-over fences the request and ends as not run, one after it as unknown; neither counts as a failure of the target.

Evidence: TargetSideErrorTests injects an Error at eight steps and at the end of a streamed response with one slot in all, and then expects empty counts and requests that are served.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/Admission.java
@@ -252,13 +252,16 @@
   public Decision offer(Waiter waiter, long nowNanos) {
     PendingCallbacks callbacks = new PendingCallbacks();
     Decision decision;
-    synchronized (this) {
-      decision = decide(waiter, nowNanos, callbacks);
-      if (decision instanceof Decision.Refused refused) {
-        probeSpeedAfterRefusal(refused, waiter, nowNanos, callbacks);
+    try {
+      synchronized (this) {
+        decision = decide(waiter, nowNanos, callbacks);
+        if (decision instanceof Decision.Refused refused) {
+          probeSpeedAfterRefusal(refused, waiter, nowNanos, callbacks);
+        }
       }
+    } finally {
+      callbacks.deliver();
     }
-    callbacks.deliver();
     return decision;
   }
 
@@ -468,11 +471,11 @@
     double work = workNanos(request, nowNanos);
     long endNanos = nowNanos + (long) (work * factor);
     boolean fresh = slowdown.isFresh(nowNanos);
+    RunningRequest run =
+        new RunningRequest(work, request.initialEstimateNanos(), factor, fresh, endNanos);
+    running.put(request.waiter(), run);
     rateLimiter.onStart(nowNanos);
     notHandedOver.add(request.waiter());
-    running.put(
-        request.waiter(),
-        new RunningRequest(work, request.initialEstimateNanos(), factor, fresh, endNanos));
   }
 
   private void enqueue(QueuedRequest request, long nowNanos) {
@@ -534,8 +537,8 @@
    * @param nowNanos the current time
    */
   public void release(Waiter waiter, long heldNanos, long nowNanos) {
-    PendingCallbacks callbacks = new PendingCallbacks();
     synchronized (this) {
+      // The slot is free before anything is allocated, so that a full heap does not keep it.
       RunningRequest run = running.remove(waiter);
       if (notHandedOver.remove(waiter)) {
         rateLimiter.onNotHandedOver();
@@ -545,9 +548,8 @@
         learnWork(waiter.rule(), run, heldNanos, nowNanos);
         retryAfter.onServed(nowNanos);
       }
-      admitNext(nowNanos, callbacks);
     }
-    callbacks.deliver();
+    recheck(nowNanos);
   }
 
   // Skips work that began without a current report of a target that reports its speed: the target
@@ -563,14 +565,30 @@
     refuseOutOfTime(nowNanos, callbacks);
     Optional<QueuedRequest> next = nextStartable(nowNanos);
     while (next.isPresent()) {
-      queue.remove(next.get());
-      start(next.get(), nowNanos);
-      callbacks.admit(next.get().waiter());
+      startQueued(next.get(), nowNanos, callbacks);
       next = nextStartable(nowNanos);
     }
     probeSpeedIfAwaited(nowNanos, callbacks);
   }
 
+  // A waiter has a slot and its notification, or none of both.
+  private void startQueued(QueuedRequest request, long nowNanos, PendingCallbacks callbacks) {
+    boolean started = false;
+    try {
+      start(request, nowNanos);
+      callbacks.admit(request.waiter());
+      queue.remove(request);
+      started = true;
+    } finally {
+      if (!started) {
+        running.remove(request.waiter());
+        if (notHandedOver.remove(request.waiter())) {
+          rateLimiter.onNotHandedOver();
+        }
+      }
+    }
+  }
+
   private void refuseOutOfTime(long nowNanos, PendingCallbacks callbacks) {
     int ahead = 0;
     for (QueuedRequest queued : List.copyOf(queue)) {
@@ -638,11 +656,14 @@
    */
   public void onSpeedUnknown(long nowNanos) {
     PendingCallbacks callbacks = new PendingCallbacks();
-    synchronized (this) {
-      slowdown.onProbeFailed(nowNanos);
-      admitNext(nowNanos, callbacks);
+    try {
+      synchronized (this) {
+        slowdown.onProbeFailed(nowNanos);
+        admitNext(nowNanos, callbacks);
+      }
+    } finally {
+      callbacks.deliver();
     }
-    callbacks.deliver();
   }
 
   /**
@@ -654,10 +675,13 @@
    */
   public void recheck(long nowNanos) {
     PendingCallbacks callbacks = new PendingCallbacks();
-    synchronized (this) {
-      admitNext(nowNanos, callbacks);
+    try {
+      synchronized (this) {
+        admitNext(nowNanos, callbacks);
+      }
+    } finally {
+      callbacks.deliver();
     }
-    callbacks.deliver();
   }
 
   /**
@@ -668,11 +692,14 @@
    */
   public void onSlowdown(double factor, long nowNanos) {
     PendingCallbacks callbacks = new PendingCallbacks();
-    synchronized (this) {
-      slowdown.onReport(factor, nowNanos);
-      admitNext(nowNanos, callbacks);
+    try {
+      synchronized (this) {
+        slowdown.onReport(factor, nowNanos);
+        admitNext(nowNanos, callbacks);
+      }
+    } finally {
+      callbacks.deliver();
     }
-    callbacks.deliver();
   }
 
   /**
@@ -684,20 +711,23 @@
    */
   public void onLimit(TargetNotice.Limit stated, long sentNanos, long nowNanos) {
     PendingCallbacks callbacks = new PendingCallbacks();
-    synchronized (this) {
-      switch (stated) {
-        case TargetNotice.Limit.Rate named ->
-            rateLimiter.onRateStated(named.requestsPerSecond(), nowNanos);
-        case TargetNotice.Limit.Unstated unstated -> {
-          if (rateLimiter.onNoRateStated(sentNanos)) {
-            admitNext(nowNanos, callbacks);
+    try {
+      synchronized (this) {
+        switch (stated) {
+          case TargetNotice.Limit.Rate named ->
+              rateLimiter.onRateStated(named.requestsPerSecond(), nowNanos);
+          case TargetNotice.Limit.Unstated unstated -> {
+            if (rateLimiter.onNoRateStated(sentNanos)) {
+              admitNext(nowNanos, callbacks);
+            }
           }
+          // The target still limits, and its rate may have been misread; the last known rate stays.
+          case TargetNotice.Limit.Unreadable unreadable -> {}
         }
-        // The target still limits, and its rate may have been misread; the last known rate stays.
-        case TargetNotice.Limit.Unreadable unreadable -> {}
       }
+    } finally {
+      callbacks.deliver();
     }
-    callbacks.deliver();
   }
 
   /**
@@ -791,7 +821,13 @@
    * @return whether it was still waiting; if not, it was or is being notified of its decision
    */
   public synchronized boolean withdraw(Waiter waiter) {
-    return queue.removeIf(queued -> queued.waiter().equals(waiter));
+    for (int i = 0; i < queue.size(); i++) {
+      if (queue.get(i).waiter().equals(waiter)) {
+        queue.remove(i);
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -811,14 +847,17 @@
    */
   public void close(ResultCode code, long nowNanos) {
     PendingCallbacks callbacks = new PendingCallbacks();
-    synchronized (this) {
-      closedWith = Optional.of(code);
-      for (QueuedRequest queued : queue) {
-        callbacks.refuse(queued.waiter(), createRefusal(code, nowNanos));
+    try {
+      synchronized (this) {
+        closedWith = Optional.of(code);
+        for (QueuedRequest queued : queue) {
+          callbacks.refuse(queued.waiter(), createRefusal(code, nowNanos));
+        }
+        queue.clear();
       }
-      queue.clear();
+    } finally {
+      callbacks.deliver();
     }
-    callbacks.deliver();
   }
 
   /**
@@ -892,7 +931,21 @@
     }
 
     void deliver() {
-      pending.forEach(Runnable::run);
+      deliverFrom(0);
+    }
+
+    // A failure to notify one waiter does not keep the others waiting.
+    private void deliverFrom(int first) {
+      int next = first;
+      try {
+        while (next < pending.size()) {
+          pending.get(next++).run();
+        }
+      } finally {
+        if (next < pending.size()) {
+          deliverFrom(next);
+        }
+      }
     }
   }
 }
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/KeyLedger.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/KeyLedger.java
@@ -123,8 +123,9 @@
     if (entries.size() >= maxKeys && !forgetOldest(nowMillis)) {
       return new Claim.Full<>();
     }
+    Claim<A> fresh = new Claim.Fresh<>();
     entries.put(key, new Entry<>());
-    return new Claim.Fresh<>();
+    return fresh;
   }
 
   /**
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/CrashDetector.java
@@ -94,20 +94,26 @@
     this.log = log;
   }
 
-  /** Records that a request is about to be written to the target. */
-  HandedOver onHandOver(CallRequest request, LocalTarget.Destination destination, long startNanos) {
-    HandedOver handedOver =
-        new HandedOver(request, destination, quarantine.suspicion(request), startNanos);
-    inProgress.add(handedOver);
-    return handedOver;
+  /** Describes a request that is to be handed over. */
+  HandedOver createHandedOver(
+      CallRequest request, LocalTarget.Destination destination, long startNanos) {
+    return new HandedOver(request, destination, quarantine.suspicion(request), startNanos);
+  }
+
+  /** Records that a request is about to be written to the target; {@link #onEnd} follows. */
+  void onHandOver(HandedOver request) {
+    inProgress.add(request);
   }
 
   /** Records the end of the exchange of a request. */
   void onEnd(HandedOver request, TargetExchange.End end) {
-    if (end.kind() == TargetExchange.Kind.BROKEN) {
-      checkForCrash(request);
+    try {
+      if (end.kind() == TargetExchange.Kind.BROKEN) {
+        checkForCrash(request);
+      }
+    } finally {
+      inProgress.remove(request);
     }
-    inProgress.remove(request);
     if (end.isSuccess() && quarantine.onAnswered(request.request)) {
       log.warn(
           "quarantine-lifted",
@@ -158,7 +164,7 @@
         checkFindsEnd(unchecked.getLast().destination);
       }
     } finally {
-      // Also after a failure: only the first one that is deferred starts a check.
+      // Otherwise no later check would be deferred again.
       unchecked.clear();
       checkLock.unlock();
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/SlotWaiter.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.model.Priority;
 import org.amaranthmoor.model.ResultCode;
@@ -19,8 +20,14 @@
  */
 final class SlotWaiter implements Admission.Waiter {
 
+  private static final Decision ADMITTED = new Decision.Admitted();
+
+  /** Longest wait for a decision that the admission has made, in nanoseconds. */
+  private static final long NOTIFICATION_NANOS = 1_000_000_000L;
+
   private final CallRequest request;
   private final CompletableFuture<Decision> decision = new CompletableFuture<>();
+  private final AtomicBoolean left = new AtomicBoolean();
 
   SlotWaiter(CallRequest request) {
     this.request = request;
@@ -62,7 +69,7 @@
 
   @Override
   public void admitted() {
-    decision.complete(new Decision.Admitted());
+    decision.complete(ADMITTED);
   }
 
   @Override
@@ -87,14 +94,42 @@
       }
       leftNanos = request.deadlineNanos() - time.nanos();
     }
-    return withdraw(admission, ResultCode.DEADLINE_BEFORE_START);
+    return withdraw(admission, ResultCode.DEADLINE_BEFORE_START, time);
   }
 
-  /** Leaves the queue; a decision that was made at the same time takes precedence. */
-  Decision withdraw(Admission admission, ResultCode code) {
+  /**
+   * Leaves the queue; a decision that was made at the same time takes precedence, unless an error
+   * has kept its notification away.
+   */
+  Decision withdraw(Admission admission, ResultCode code, TimeSource time) {
+    Decision refused = new Decision.Refused(code, 0);
     if (admission.withdraw(this)) {
-      decision.complete(new Decision.Refused(code, 0));
+      decision.complete(refused);
+    }
+    if (!decision.isDone()) {
+      var unused =
+          decision
+              .copy()
+              .completeOnTimeout(refused, NOTIFICATION_NANOS, TimeUnit.NANOSECONDS)
+              .join();
+    }
+    if (decision.complete(refused)) {
+      leave(admission, -1, time);
     }
     return decision.join();
   }
+
+  /**
+   * Leaves the queue or gives the slot back, whichever it has. Only the first call has an effect.
+   *
+   * @param heldNanos as for {@link Admission#release}
+   */
+  void leave(Admission admission, long heldNanos, TimeSource time) {
+    if (left.compareAndSet(false, true)) {
+      // A request that waits has no slot, and one that has left the queue may have one.
+      if (!admission.withdraw(this)) {
+        admission.release(this, heldNanos, time.nanos());
+      }
+    }
+  }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -7,11 +7,14 @@
 import java.io.SequenceInputStream;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.DeadlineWatch;
@@ -37,9 +40,10 @@
  *
  * <p>Confined to one thread, except for aborting the connection. Invariants: the connection is
  * returned to the pool only after a complete response; {@code onNotice} receives the notice in a
- * response of the intended target before the response is passed on; {@code onDone} is called
- * exactly once, after the response was read or abandoned; the exchange does not hold the connection
- * for longer than the deadline.
+ * response of the intended target before the response is passed on; {@code onHandOver} is called
+ * before the request is written, and {@code onDone} exactly once, after the response was read or
+ * abandoned, whatever was thrown meanwhile; the exchange does not hold the connection for longer
+ * than the deadline.
  */
 final class TargetExchange {
 
@@ -94,6 +98,13 @@
     }
   }
 
+  // Created in advance, as the heap may be full when an exchange ends.
+  private static final Map<Kind, End> PLAIN_ENDS =
+      Arrays.stream(Kind.values())
+          .collect(
+              Collectors.toUnmodifiableMap(
+                  kind -> kind, kind -> new End(kind, OptionalDouble.empty(), 0)));
+
   private final InboundCall call;
   private final Optional<TargetRun> run;
   private final TargetDialect dialect;
@@ -101,6 +112,7 @@
   private final TargetConnectionPool pool;
   private final DeadlineWatch deadlineWatch;
   private final TimeSource time;
+  private final Runnable onHandOver;
   private final Consumer<TargetNotice> onNotice;
   private final Consumer<End> onDone;
   private OptionalDouble slowdown = OptionalDouble.empty();
@@ -120,6 +132,7 @@
       TargetConnectionPool pool,
       DeadlineWatch deadlineWatch,
       TimeSource time,
+      Runnable onHandOver,
       Consumer<TargetNotice> onNotice,
       Consumer<End> onDone) {
     this.call = call;
@@ -129,16 +142,33 @@
     this.pool = pool;
     this.deadlineWatch = deadlineWatch;
     this.time = time;
+    this.onHandOver = onHandOver;
     this.onNotice = onNotice;
     this.onDone = onDone;
   }
 
   /** Runs the exchange up to the head of the response, or to its end if the body is small. */
   Outcome<CallResponse> run() {
-    watched =
-        Optional.of(
-            deadlineWatch.watch(
-                call.request().deadlineNanos() + ABORT_DELAY_NANOS, this::abortOverdue));
+    boolean ended = false;
+    try {
+      onHandOver.run();
+      call.onCancel(connection::abort);
+      watched =
+          Optional.of(
+              deadlineWatch.watch(
+                  call.request().deadlineNanos() + ABORT_DELAY_NANOS, this::abortOverdue));
+      Outcome<CallResponse> outcome = sendAndReceive();
+      ended = true;
+      return outcome;
+    } finally {
+      if (!ended) {
+        // An error of this process says nothing about the target.
+        finish(false, Kind.CANCELLED);
+      }
+    }
+  }
+
+  private Outcome<CallResponse> sendAndReceive() {
     try {
       ClassicHttpRequest request = toHttp(call.request());
       send(request);
@@ -181,14 +211,19 @@
       return;
     }
     done = true;
-    call.clearOnCancel();
-    watched.ifPresent(DeadlineWatch.Watched::close);
-    if (reusable && !skippedResponse && !call.cancelled() && !overdue) {
-      pool.release(connection);
-    } else {
-      connection.abort();
+    End end = PLAIN_ENDS.get(kind);
+    try {
+      call.clearOnCancel();
+      watched.ifPresent(DeadlineWatch.Watched::close);
+      if (reusable && !skippedResponse && !call.cancelled() && !overdue) {
+        pool.release(connection);
+      } else {
+        connection.abort();
+      }
+      end = new End(kind, slowdown, status);
+    } finally {
+      onDone.accept(end);
     }
-    onDone.accept(new End(kind, slowdown, status));
   }
 
   private void send(ClassicHttpRequest request) throws IOException, HttpException {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetSide.java
@@ -46,6 +46,12 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  // Created in advance, as a full heap may be the cause.
+  private static final Outcome<CallResponse> FAILED_BEFORE_HAND_OVER =
+      new Outcome.NotRun<>(ResultCode.OVERLOADED, 0, "the target side failed before the hand-over");
+  private static final Outcome<CallResponse> FAILED_AFTER_HAND_OVER =
+      new Outcome.Unknown<>(ResultCode.NODE_FAILED, "the target side failed unexpectedly");
+
   /**
    * Longest time to connect to the target, in nanoseconds. The target is on this machine, and a
    * lost SYN packet is retransmitted only after a second, by which time the request is better
@@ -114,7 +120,7 @@
   }
 
   /**
-   * Runs a request.
+   * Runs a request. An unexpected failure, an {@link Error} among them, ends this request only.
    *
    * @param call the request
    * @return the outcome; a streamed response holds the slot until it is read to its end or closed
@@ -123,11 +129,17 @@
     inProgress.incrementAndGet();
     boolean streams = false;
     try {
-      Outcome<CallResponse> outcome = runDeduplicated(call);
+      Outcome<CallResponse> outcome = withLoad(runDeduplicated(call));
       streams =
           outcome instanceof Outcome.Answered<CallResponse> answered
               && answered.response().body() instanceof CallResponse.Body.Streamed;
-      return withLoad(outcome);
+      return outcome;
+    } catch (RuntimeException | Error e) {
+      Outcome<CallResponse> outcome = failedOutcome(call);
+      log.warn(
+          "target-side-failed",
+          () -> "id=" + call.request().id() + " error=" + EventLog.quote(e.toString()));
+      return outcome;
     } finally {
       if (!streams) {
         inProgress.decrementAndGet();
@@ -135,6 +147,11 @@
     }
   }
 
+  // A request that is fenced is not run and never will be.
+  private static Outcome<CallResponse> failedOutcome(InboundCall call) {
+    return call.handOver().fence() ? FAILED_BEFORE_HAND_OVER : FAILED_AFTER_HAND_OVER;
+  }
+
   private Outcome<CallResponse> runDeduplicated(InboundCall call) {
     Optional<IdempotencyKey> key = call.request().key();
     if (key.isEmpty()) {
@@ -144,9 +161,17 @@
     if (settled.isPresent()) {
       return settled.get();
     }
-    Outcome<CallResponse> outcome = admitAndRun(call);
-    recordOutcome(key.get(), outcome);
-    return outcome;
+    boolean recorded = false;
+    try {
+      Outcome<CallResponse> outcome = admitAndRun(call);
+      recordOutcome(key.get(), outcome);
+      recorded = true;
+      return outcome;
+    } finally {
+      if (!recorded) {
+        recordOutcome(key.get(), failedOutcome(call));
+      }
+    }
   }
 
   private Optional<Outcome<CallResponse>> claimKey(IdempotencyKey key) {
@@ -195,13 +220,24 @@
 
   private void recordOutcome(IdempotencyKey key, Outcome<CallResponse> outcome) {
     switch (outcome) {
-      case Outcome.Answered<CallResponse> answered ->
-          keys.onAnswered(key, StoredResponse.of(answered.response()));
+      case Outcome.Answered<CallResponse> answered -> recordResponse(key, answered.response());
       case Outcome.NotRun<CallResponse> notRun -> keys.release(key);
       case Outcome.Unknown<CallResponse> unknown -> keys.onOutcomeUnknown(key);
     }
   }
 
+  private void recordResponse(IdempotencyKey key, CallResponse response) {
+    boolean recorded = false;
+    try {
+      keys.onAnswered(key, StoredResponse.of(response));
+      recorded = true;
+    } finally {
+      if (!recorded) {
+        response.close();
+      }
+    }
+  }
+
   private Outcome<CallResponse> admitAndRun(InboundCall call) {
     CallRequest request = call.request();
     long now = time.nanos();
@@ -215,13 +251,27 @@
       return refuse(request, quarantined.get().code(), quarantined.get().retryAfterMillis());
     }
     SlotWaiter waiter = new SlotWaiter(request);
+    boolean ended = false;
+    try {
+      Outcome<CallResponse> outcome = runIfAdmitted(call, waiter, now);
+      ended = true;
+      return outcome;
+    } finally {
+      if (!ended) {
+        waiter.leave(admission, -1, time);
+      }
+    }
+  }
+
+  private Outcome<CallResponse> runIfAdmitted(InboundCall call, SlotWaiter waiter, long now) {
+    CallRequest request = call.request();
     Decision decision = admission.offer(waiter, now);
     if (decision instanceof Decision.Queued) {
       decision = awaitSlot(call, waiter);
       metrics.recordTargetWait(time.nanos() - now);
     }
     return switch (decision) {
-      case Decision.Admitted admitted -> runWithSlot(call, waiter);
+      case Decision.Admitted admitted -> handOver(call, waiter);
       case Decision.Refused refused -> refuse(request, refused.code(), refused.retryAfterMillis());
       case Decision.Queued queued ->
           throw new IllegalStateException("the request is still queued after the wait");
@@ -229,28 +279,17 @@
   }
 
   private Decision awaitSlot(InboundCall call, SlotWaiter waiter) {
-    call.onCancel(() -> waiter.withdraw(admission, ResultCode.CANCELLED));
+    call.onCancel(() -> waiter.withdraw(admission, ResultCode.CANCELLED, time));
     try {
       return waiter.await(admission, time);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return waiter.withdraw(admission, ResultCode.CANCELLED);
+      return waiter.withdraw(admission, ResultCode.CANCELLED, time);
     } finally {
       call.clearOnCancel();
     }
   }
 
-  // An unexpected failure must not keep the slot.
-  private Outcome<CallResponse> runWithSlot(InboundCall call, SlotWaiter waiter) {
-    try {
-      return handOver(call, waiter);
-    } catch (RuntimeException e) {
-      runningAttempts.remove(call.request().id());
-      admission.release(waiter, -1, time.nanos());
-      throw e;
-    }
-  }
-
   private Outcome<CallResponse> handOver(InboundCall call, SlotWaiter waiter) {
     CallRequest request = call.request();
     Optional<LocalTarget.Destination> destination =
@@ -269,33 +308,55 @@
       return releaseUnused(
           waiter, ResultCode.TARGET_UNREACHABLE, "the target did not accept a connection");
     }
-    // The target may have left while the connection was opened.
-    Optional<ResultCode> refusal =
-        localTarget.destination(request.service(), time.nanos()).equals(destination)
-            ? checkAndCommit(call)
-            : Optional.of(ResultCode.TARGET_ABSENT);
-    if (refusal.isPresent()) {
-      connections.release(connection);
-      return releaseUnused(waiter, refusal.get(), "the request was not handed over to the target");
+    TargetExchange exchange;
+    boolean passedOn = false;
+    try {
+      // The target may have left while the connection was opened.
+      Optional<ResultCode> refusal =
+          localTarget.destination(request.service(), time.nanos()).equals(destination)
+              ? checkAndCommit(call)
+              : Optional.of(ResultCode.TARGET_ABSENT);
+      if (refusal.isPresent()) {
+        passedOn = true;
+        connections.release(connection);
+        return releaseUnused(
+            waiter, refusal.get(), "the request was not handed over to the target");
+      }
+      exchange = createExchange(call, waiter, destination.get(), connection);
+      passedOn = true;
+    } finally {
+      if (!passedOn) {
+        connection.abort();
+      }
     }
+    return exchange.run();
+  }
+
+  // The exchange returns the connection and the slot from now on, however it ends.
+  private TargetExchange createExchange(
+      InboundCall call,
+      SlotWaiter waiter,
+      LocalTarget.Destination destination,
+      TargetConnection connection) {
+    CallRequest request = call.request();
     long startNanos = time.nanos();
-    admission.onHandOver(waiter, startNanos);
-    runningAttempts.put(request.id(), request.attempt());
     CrashDetector.HandedOver handedOver =
-        crashDetector.onHandOver(request, destination.get(), startNanos);
-    call.onCancel(connection::abort);
-    TargetExchange exchange =
-        new TargetExchange(
-            call,
-            destination.get().run(),
-            dialect,
-            connection,
-            connections,
-            deadlineWatch,
-            time,
-            notice -> onNotice(destination.get(), notice, startNanos),
-            end -> finish(waiter, handedOver, end));
-    return exchange.run();
+        crashDetector.createHandedOver(request, destination, startNanos);
+    return new TargetExchange(
+        call,
+        destination.run(),
+        dialect,
+        connection,
+        connections,
+        deadlineWatch,
+        time,
+        () -> {
+          admission.onHandOver(waiter, startNanos);
+          runningAttempts.put(request.id(), request.attempt());
+          crashDetector.onHandOver(handedOver);
+        },
+        notice -> onNotice(destination, notice, startNanos),
+        end -> finish(waiter, handedOver, end));
   }
 
   // The limit that an earlier run states does not apply to the run that takes requests now.
@@ -329,7 +390,7 @@
   }
 
   private Outcome<CallResponse> releaseUnused(SlotWaiter waiter, ResultCode code, String detail) {
-    admission.release(waiter, -1, time.nanos());
+    waiter.leave(admission, -1, time);
     return new Outcome.NotRun<>(code, 0, detail);
   }
 
@@ -347,6 +408,22 @@
     long startNanos = request.startNanos();
     long now = time.nanos();
     runningAttempts.remove(waiter.request().id());
+    try {
+      logExchange(waiter, end, startNanos, now);
+      end.slowdown().ifPresent(factor -> admission.onSlowdown(factor, now));
+    } finally {
+      waiter.leave(admission, end.measuresServiceTime() ? now - startNanos : -1, time);
+    }
+    switch (end.kind()) {
+      case ANSWERED, REFUSED -> localTarget.onExchangeEnd(false, now);
+      case BROKEN -> localTarget.onExchangeEnd(true, now);
+      case SILENT -> localTarget.onTimeout(startNanos, now);
+      case REPLACED -> request.destination().run().ifPresent(localTarget::onReplaced);
+      case CANCELLED -> {}
+    }
+  }
+
+  private void logExchange(SlotWaiter waiter, TargetExchange.End end, long startNanos, long now) {
     log.requestSucceeded(
         "target-exchange",
         () ->
@@ -366,15 +443,6 @@
                 + admission.describe(now)
                 + " slowdown="
                 + end.slowdown());
-    end.slowdown().ifPresent(factor -> admission.onSlowdown(factor, now));
-    admission.release(waiter, end.measuresServiceTime() ? now - startNanos : -1, now);
-    switch (end.kind()) {
-      case ANSWERED, REFUSED -> localTarget.onExchangeEnd(false, now);
-      case BROKEN -> localTarget.onExchangeEnd(true, now);
-      case SILENT -> localTarget.onTimeout(startNanos, now);
-      case REPLACED -> request.destination().run().ifPresent(localTarget::onReplaced);
-      case CANCELLED -> {}
-    }
   }
 
   // Makes the last checks and commits the request; only the hand-over follows.
@@ -405,18 +473,31 @@
       return outcome;
     }
     CallResponse response = answered.response();
-    CallResponse.Body body =
-        response.body() instanceof CallResponse.Body.Streamed streamed
-            ? new CallResponse.Body.Streamed(
-                new EndNotifyingBody(
-                    streamed.stream(),
-                    streamed.length(),
-                    inProgress::decrementAndGet,
-                    inProgress::decrementAndGet),
-                streamed.length())
-            : response.body();
-    return new Outcome.Answered<>(
-        new CallResponse(response.status(), response.headers(), body, Optional.of(load())));
+    boolean complete = false;
+    try {
+      CallResponse.Body body = countedUntilEnd(response.body());
+      Outcome<CallResponse> result =
+          new Outcome.Answered<>(
+              new CallResponse(response.status(), response.headers(), body, Optional.of(load())));
+      complete = true;
+      return result;
+    } finally {
+      if (!complete) {
+        response.close();
+      }
+    }
+  }
+
+  private CallResponse.Body countedUntilEnd(CallResponse.Body body) {
+    return body instanceof CallResponse.Body.Streamed streamed
+        ? new CallResponse.Body.Streamed(
+            new EndNotifyingBody(
+                streamed.stream(),
+                streamed.length(),
+                inProgress::decrementAndGet,
+                inProgress::decrementAndGet),
+            streamed.length())
+        : body;
   }
 
   private static Optional<Outcome<CallResponse>> notRun(ResultCode code, String detail) {
