Close a connection to the target whose opening or pooling an Error ended

By reading, no test of its own: an Error while a connection to the target was opened, taken from the pool or returned to it left its socket open. It is undone in a finally now.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnection.java
@@ -44,16 +44,19 @@
 
   static TargetConnection open(Endpoint address, long connectTimeoutNanos) throws IOException {
     Socket socket = new Socket();
+    boolean opened = false;
     try {
       socket.setTcpNoDelay(true);
       socket.connect(
           address.socketAddress(), (int) Math.max(1, connectTimeoutNanos / NANOS_PER_MILLI));
       TargetConnection connection = new TargetConnection(socket, address);
       connection.bind(socket);
+      opened = true;
       return connection;
-    } catch (IOException e) {
-      socket.close();
-      throw e;
+    } finally {
+      if (!opened) {
+        socket.close();
+      }
     }
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnectionPool.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetConnectionPool.java
@@ -54,24 +54,42 @@
             : Math.min(idleTimeoutNanos, MAX_IDLE_FOR_NON_IDEMPOTENT_NANOS);
     TargetConnection connection = idle.pollFirst();
     while (connection != null) {
-      long limitNanos = Math.min(maxIdleNanos, connection.maxIdleNanos());
-      boolean recentlyUsed = time.nanos() - connection.idleSinceNanos() <= limitNanos;
-      if (recentlyUsed && connection.address().equals(address) && connection.isReusable()) {
+      if (isUsable(connection, address, maxIdleNanos)) {
         return connection;
       }
-      connection.abort();
       connection = idle.pollFirst();
     }
     return TargetConnection.open(address, connectTimeoutNanos);
   }
 
+  // A connection that is not usable is closed.
+  private boolean isUsable(TargetConnection connection, Endpoint address, long maxIdleNanos) {
+    boolean usable = false;
+    try {
+      long limitNanos = Math.min(maxIdleNanos, connection.maxIdleNanos());
+      boolean recentlyUsed = time.nanos() - connection.idleSinceNanos() <= limitNanos;
+      usable = recentlyUsed && connection.address().equals(address) && connection.isReusable();
+      return usable;
+    } finally {
+      if (!usable) {
+        connection.abort();
+      }
+    }
+  }
+
   void release(TargetConnection connection) {
-    if (!connection.isReusable() || idle.size() >= maxIdleConnections) {
-      connection.abort();
-      return;
+    boolean kept = false;
+    try {
+      if (connection.isReusable() && idle.size() < maxIdleConnections) {
+        connection.setIdleSinceNanos(time.nanos());
+        idle.addFirst(connection);
+        kept = true;
+      }
+    } finally {
+      if (!kept) {
+        connection.abort();
+      }
     }
-    connection.setIdleSinceNanos(time.nanos());
-    idle.addFirst(connection);
   }
 
   /** Closes all idle connections, as after the end of the target's process. */
