--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionLimitTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionLimitTests.java
@@ -101,7 +101,8 @@
                 }
                 trigger.submitResponse(new BasicClassicHttpResponse(204));
               },
-              new ListenerSettings(name, admission, ListenerSettings::unavailable, ErrorListener.NONE, time, log),
+              new ListenerSettings(
+                  name, admission, ListenerSettings::unavailable, ErrorListener.NONE, time, log),
               factory,
               Executors.newVirtualThreadPerTaskExecutor())
           .registerWith(metrics);
