Bound the bytes that links between nodes hold

A node whose callers read slowly, or whose peers do not read, filled its heap and its direct memory with parts of bodies.

Cause: each stream may receive 128 KB that nobody has read yet, and nothing bounded the streams; what waited to be sent to a peer had no bound at all.

Change: bytes that wait in a BodyPipe of a link are taken from a ByteBudget, a fifth of the heap, until they are read or discarded. A body that finds no room fails visibly on both sides. While less than a quarter is left, the entry side refuses new calls with NODE_BUSY and the target side new requests with OVERLOADED, both before the hand-over; requests on which a running one depends get the rest. A body that fails is discarded at once instead of when its reader closes it. A link on which more than a sixteenth of the direct memory waits to be sent takes no new request, so that the next server is asked, and no query. Metrics: amaranthmoor_buffered_bytes and _max.

The effect on the heap under load was not measured here.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -58,6 +58,7 @@
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
 import org.amaranthmoor.daemon.target.TargetDialect;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.Outcome;
@@ -114,6 +115,8 @@
   private final CrashLedger crashLedger = new CrashLedger();
   private final SuspicionExchange suspicions;
   private final EventLoopGroup group;
+  // A fifth of the heap; the rest is for connections, requests and the state of the node.
+  private final ByteBudget bodyBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / 5);
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
@@ -174,6 +177,7 @@
             views::onLoadReport,
             new NoticeCache(),
             quarantine,
+            bodyBytes,
             metrics,
             time,
             log,
@@ -185,7 +189,16 @@
     TargetConnector access = new TargetConnector(identity, targetSide, links, executor, time);
     this.entrySide =
         new EntrySide(
-            settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
+            settings.zone(),
+            views,
+            access,
+            links,
+            shedder,
+            quarantine,
+            bodyBytes,
+            metrics,
+            time,
+            log);
     CallerDialect callerDialect = new NativeCallerDialect(time);
     this.callerHandler =
         new CallerHandler(
@@ -209,6 +222,14 @@
     this.statusCollector =
         new StatusCollector(settings.node(), stateHolder, membership, links, queries, executor);
     stateHolder.addListener(this::onStateChange);
+    metrics.registerGauge(
+        "amaranthmoor.buffered.bytes",
+        "Bytes of bodies from other nodes that wait to be read",
+        bodyBytes::used);
+    metrics.registerGauge(
+        "amaranthmoor.buffered.bytes.max",
+        "Bytes of bodies from other nodes that may wait to be read",
+        bodyBytes::capacity);
     NodeGauges.add(
         metrics,
         targetSide,
@@ -229,6 +250,7 @@
             suspicions,
             identity,
             executor,
+            bodyBytes,
             metrics,
             time,
             log);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -18,6 +18,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.PeerLinks;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
@@ -62,6 +63,7 @@
   private final PeerLinks links;
   private final LoadShedder loadShedder;
   private final RequestQuarantine quarantine;
+  private final ByteBudget budget;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
@@ -77,6 +79,7 @@
    * @param links links to other nodes, which carry probes
    * @param loadShedder decides which calls are refused when processor time is short
    * @param quarantine refuses requests that must reach no target
+   * @param budget what the received parts of bodies are taken from
    * @param metrics counts calls
    * @param time the time source
    * @param log receives the outcomes of calls
@@ -88,6 +91,7 @@
       PeerLinks links,
       LoadShedder loadShedder,
       RequestQuarantine quarantine,
+      ByteBudget budget,
       NodeMetrics metrics,
       TimeSource time,
       EventLog log) {
@@ -97,6 +101,7 @@
     this.links = links;
     this.loadShedder = loadShedder;
     this.quarantine = quarantine;
+    this.budget = budget;
     this.metrics = metrics;
     this.time = time;
     this.log = log;
@@ -201,12 +206,14 @@
                         new Outcome.NotRun<>(
                             ResultCode.NODE_BUSY,
                             0,
-                            "the node sheds load because its processor time is short")));
+                            "the node sheds load because its processor time or its memory is short")));
   }
 
   private boolean admits(CallRequest request, long nowNanos) {
     double randomValue = ThreadLocalRandom.current().nextDouble();
-    return request.nested() || loadShedder.admits(request.priority(), randomValue, nowNanos);
+    return request.nested()
+        || (!budget.isNearlyUsed()
+            && loadShedder.admits(request.priority(), randomValue, nowNanos));
   }
 
   private static String outcomeLabel(Outcome<CallResponse> outcome) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/BodyPipe.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntConsumer;
+import org.amaranthmoor.model.ByteBudget;
 
 /**
  * Transfers a message body from the thread that receives it to the thread that reads it.
@@ -16,7 +17,8 @@
  * <p>Supports flow control: {@code onRead} receives the number of bytes read, for which the sender
  * can be granted new credit. Invariant: the reader sees every byte in order followed by the end of
  * the stream, or an {@link IOException}; a truncated body is never reported as complete; neither
- * side waits past the deadline. Safe for one writer and one reader.
+ * side waits past the deadline; bytes that are neither read nor discarded are held in the budget.
+ * Safe for one writer and one reader.
  */
 public final class BodyPipe extends InputStream {
 
@@ -25,6 +27,7 @@
   private final Deque<byte[]> chunks = new ArrayDeque<>();
   private final int capacityBytes;
   private final Deadline deadline;
+  private final ByteBudget budget;
   private final IntConsumer onRead;
   private int position;
   private int bufferedBytes;
@@ -41,8 +44,22 @@
    * @param onRead receives the number of bytes of each read; called outside the lock
    */
   public BodyPipe(int capacityBytes, Deadline deadline, IntConsumer onRead) {
+    this(capacityBytes, deadline, new ByteBudget(Long.MAX_VALUE), onRead);
+  }
+
+  /**
+   * Creates an empty pipe that shares the memory for its bytes with others.
+   *
+   * @param capacityBytes number of buffered bytes from which {@link #write} blocks
+   * @param deadline the end of each wait of the writer and of the reader
+   * @param budget bytes are taken from it until they are read or discarded; a body that finds no
+   *     room fails
+   * @param onRead receives the number of bytes of each read; called outside the lock
+   */
+  public BodyPipe(int capacityBytes, Deadline deadline, ByteBudget budget, IntConsumer onRead) {
     this.capacityBytes = capacityBytes;
     this.deadline = deadline;
+    this.budget = budget;
     this.onRead = onRead;
   }
 
@@ -81,7 +98,7 @@
         return false;
       }
       add(bytes);
-      return true;
+      return !failed;
     } finally {
       lock.unlock();
     }
@@ -112,18 +129,36 @@
   }
 
   private void add(byte[] bytes) {
-    if (bytes.length > 0 && !closed) {
-      chunks.addLast(bytes);
+    if (bytes.length == 0 || closed || failed) {
+      return;
+    }
+    if (budget.tryAcquire(bytes.length)) {
       bufferedBytes += bytes.length;
-      changed.signalAll();
+      chunks.addLast(bytes);
+    } else {
+      failWith("the node has no room for more of the body");
     }
+    changed.signalAll();
+  }
+
+  private void failWith(String reason) {
+    failed = true;
+    failure = reason;
+    discard();
+  }
+
+  private void discard() {
+    budget.release(bufferedBytes);
+    bufferedBytes = 0;
+    position = 0;
+    chunks.clear();
   }
 
-  /** Marks the end of the body. */
+  /** Marks the end of the body, unless it has failed. */
   public void finish() {
     lock.lock();
     try {
-      finished = true;
+      finished = !failed;
       changed.signalAll();
     } finally {
       lock.unlock();
@@ -131,7 +166,8 @@
   }
 
   /**
-   * Ends the body with an error, unless {@link #finish} was called before.
+   * Ends the body with an error, unless {@link #finish} was called before. Discards what has not
+   * been read.
    *
    * @param reason message of the {@link IOException} that the reader gets
    */
@@ -139,8 +175,7 @@
     lock.lock();
     try {
       if (!finished) {
-        failed = true;
-        failure = reason;
+        failWith(reason);
         changed.signalAll();
       }
     } finally {
@@ -179,6 +214,7 @@
       System.arraycopy(first, position, buffer, offset, count);
       position += count;
       bufferedBytes -= count;
+      budget.release(count);
       if (position == first.length) {
         chunks.removeFirst();
         position = 0;
@@ -215,8 +251,7 @@
     lock.lock();
     try {
       closed = true;
-      chunks.clear();
-      bufferedBytes = 0;
+      discard();
       changed.signalAll();
     } finally {
       lock.unlock();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -45,6 +45,7 @@
 import org.amaranthmoor.daemon.target.TargetDialect;
 import org.amaranthmoor.daemon.target.TargetProbe;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.NodeName;
@@ -153,6 +154,8 @@
   private final SuspicionExchange suspicions;
   private final LeaveExchange leaves;
   private final EventLoopGroup group;
+  // A fifth of the heap; the rest is for connections, requests and the state of the node.
+  private final ByteBudget bodyBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / 5);
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
   private final DeadlineWatch deadlineWatch = new DeadlineWatch(executor);
   private final LoadShedder shedder;
@@ -251,6 +254,7 @@
             views::onLoadReport,
             new NoticeCache(),
             quarantine,
+            bodyBytes,
             metrics,
             time,
             log,
@@ -261,7 +265,16 @@
     TargetConnector access = new TargetConnector(identity, targetSide, links, timed, time);
     this.entrySide =
         new EntrySide(
-            settings.zone(), views, access, links, shedder, quarantine, metrics, time, log);
+            settings.zone(),
+            views,
+            access,
+            links,
+            shedder,
+            quarantine,
+            bodyBytes,
+            metrics,
+            time,
+            log);
     this.callerHandler =
         new CallerHandler(
             views, entrySide, callerDialect, targetSide::runningAttempt, deadlineWatch, time, log);
@@ -315,6 +328,7 @@
             suspicions,
             identity,
             timed,
+            bodyBytes,
             metrics,
             time,
             log);
@@ -330,6 +344,14 @@
             metrics,
             time);
     this.nextPeerSearchNanos = time.nanos();
+    metrics.registerGauge(
+        "amaranthmoor.buffered.bytes",
+        "Bytes of bodies from other nodes that wait to be read",
+        bodyBytes::used);
+    metrics.registerGauge(
+        "amaranthmoor.buffered.bytes.max",
+        "Bytes of bodies from other nodes that may wait to be read",
+        bodyBytes::capacity);
     NodeGauges.add(
         metrics,
         targetSide,
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/FrameChannelInitializer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/FrameChannelInitializer.java
@@ -3,10 +3,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.util.internal.PlatformDependent;
 import java.util.function.Supplier;
 import org.amaranthmoor.protocol.node.Frame;
 
@@ -19,6 +21,13 @@
 
   private static final int LENGTH_BYTES = 4;
 
+  /**
+   * Bytes that may wait until the peer reads them: a share of what all links together may hold
+   * outside of the heap.
+   */
+  private static final int MAX_WAITING_BYTES =
+      Math.clamp(PlatformDependent.maxDirectMemory() / 16, 256 * 1024, 16 * 1024 * 1024);
+
   private final Supplier<ChannelHandler> compression;
   private final Supplier<ChannelHandler> handler;
 
@@ -35,6 +44,10 @@
 
   @Override
   protected void initChannel(Channel channel) {
+    channel
+        .config()
+        .setWriteBufferWaterMark(
+            new WriteBufferWaterMark(MAX_WAITING_BYTES / 2, MAX_WAITING_BYTES));
     channel
         .pipeline()
         .addLast(compression.get())
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/InboundStream.java
@@ -11,6 +11,7 @@
 import org.amaranthmoor.daemon.exchange.SendWindow;
 import org.amaranthmoor.daemon.target.InboundCall;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.model.TimeSource;
@@ -40,6 +41,7 @@
       TargetSide targetSide,
       CallRequest request,
       HandOver handOver,
+      ByteBudget budget,
       TimeSource time) {
     Deadline deadline = new Deadline(request.deadlineNanos(), time);
     this.id = id;
@@ -47,7 +49,7 @@
     this.targetSide = targetSide;
     this.sendWindow = new SendWindow(deadline);
     this.requestBody =
-        new BodyPipe(Integer.MAX_VALUE, deadline, bytes -> send(Frames.credit(id, bytes)));
+        new BodyPipe(Integer.MAX_VALUE, deadline, budget, bytes -> send(Frames.credit(id, bytes)));
     this.receivedBody = new ReceivedBody(requestBody);
     this.call = new InboundCall(request, requestBody, handOver);
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -12,6 +12,7 @@
 import org.amaranthmoor.daemon.exchange.EndNotifyingBody;
 import org.amaranthmoor.daemon.exchange.Exchange;
 import org.amaranthmoor.daemon.exchange.SendWindow;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
 import org.amaranthmoor.protocol.node.Failed;
@@ -40,13 +41,14 @@
   private final ReceivedBody receivedBody;
   private long sentBytes;
 
-  OutboundStream(long id, PeerLink link, boolean idempotent, Deadline deadline) {
+  OutboundStream(long id, PeerLink link, boolean idempotent, Deadline deadline, ByteBudget budget) {
     this.id = id;
     this.link = link;
     this.idempotent = idempotent;
     this.sendWindow = new SendWindow(deadline);
     this.responseBody =
-        new BodyPipe(Integer.MAX_VALUE, deadline, bytes -> link.send(Frames.credit(id, bytes)));
+        new BodyPipe(
+            Integer.MAX_VALUE, deadline, budget, bytes -> link.send(Frames.credit(id, bytes)));
     this.receivedBody = new ReceivedBody(responseBody);
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -13,6 +13,7 @@
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.exchange.Deadline;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
@@ -46,6 +47,9 @@
      */
     void settleLost(PeerLink link, OutboundStream stream);
 
+    /** {@return what the received parts of bodies are taken from} */
+    ByteBudget budget();
+
     /** {@return the clock} */
     TimeSource time();
 
@@ -120,14 +124,17 @@
     return active.await(millis, TimeUnit.MILLISECONDS);
   }
 
-  /** Opens a stream; returns empty, and sends nothing, if the link is not connected. */
+  /**
+   * Opens a stream; returns empty, and sends nothing, if the link is not connected or its peer has
+   * long not read what was sent.
+   */
   Optional<OutboundStream> open(
       CallRequest request,
       Optional<RunNotice> rememberedNotice,
       Optional<SuspectRequest> suspect,
       long configOffset,
       long nowNanos) {
-    if (!usable()) {
+    if (!usable() || !channel.get().isWritable()) {
       return Optional.empty();
     }
     OutboundStream stream =
@@ -135,7 +142,8 @@
             nextId.incrementAndGet(),
             this,
             request.idempotent(),
-            new Deadline(request.deadlineNanos(), owner.time()));
+            new Deadline(request.deadlineNanos(), owner.time()),
+            owner.budget());
     Frame frame =
         Frames.openCall(
             stream.id(),
@@ -184,11 +192,15 @@
     CompletableFuture<Frame> reply = new CompletableFuture<>();
     reply.whenComplete((received, error) -> queries.remove(id));
     queries.put(id, reply);
-    owner.onControlFrame(frame.getSerializedSize());
-    send(frame);
-    if (!usable()) {
+    boolean sends = usable() && channel.get().isWritable();
+    if (sends) {
+      owner.onControlFrame(frame.getSerializedSize());
+      send(frame);
+    }
+    if (!sends || !usable()) {
       reply.completeExceptionally(
-          new java.io.IOException("cannot send a query because the link is not connected"));
+          new java.io.IOException(
+              "cannot send a query because the link is not connected or its peer does not read"));
     }
     return reply;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLinks.java
@@ -23,6 +23,7 @@
 import org.amaranthmoor.daemon.exchange.RequestQuarantine;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.Outcome;
@@ -77,6 +78,7 @@
   private final LoadListener loadListener;
   private final NoticeCache notices;
   private final RequestQuarantine quarantine;
+  private final ByteBudget budget;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
@@ -96,6 +98,7 @@
    * @param loadListener receives load reports
    * @param notices keeps the last notice of each target
    * @param quarantine provides the suspicion that a request carries
+   * @param budget what the received parts of bodies are taken from
    * @param metrics counts control bytes and late frames
    * @param time the clock
    * @param log receives failures of links
@@ -109,6 +112,7 @@
       LoadListener loadListener,
       NoticeCache notices,
       RequestQuarantine quarantine,
+      ByteBudget budget,
       NodeMetrics metrics,
       TimeSource time,
       EventLog log,
@@ -119,6 +123,7 @@
     this.loadListener = loadListener;
     this.notices = notices;
     this.quarantine = quarantine;
+    this.budget = budget;
     this.metrics = metrics;
     this.time = time;
     this.log = log;
@@ -332,6 +337,11 @@
       notices.onNotice(address.node(), notice);
     }
 
+    @Override
+    public ByteBudget budget() {
+      return budget;
+    }
+
     @Override
     public TimeSource time() {
       return time;
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerServer.java
@@ -13,6 +13,7 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Names;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
@@ -41,6 +42,7 @@
   private final SuspicionExchange suspicions;
   private final NodeIdentity identity;
   private final Executor executor;
+  private final ByteBudget budget;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
@@ -58,6 +60,7 @@
    * @param suspicions takes over the suspicions that requests carry
    * @param identity this node
    * @param executor runs each request on a virtual thread
+   * @param budget what the received parts of bodies are taken from
    * @param metrics counts control bytes and late frames
    * @param time the clock
    * @param log receives failures of links
@@ -72,6 +75,7 @@
       SuspicionExchange suspicions,
       NodeIdentity identity,
       Executor executor,
+      ByteBudget budget,
       NodeMetrics metrics,
       TimeSource time,
       EventLog log) {
@@ -81,6 +85,7 @@
     this.suspicions = suspicions;
     this.identity = identity;
     this.executor = executor;
+    this.budget = budget;
     this.metrics = metrics;
     this.time = time;
     this.log = log;
@@ -154,6 +159,9 @@
       if (refusal.isEmpty() && handOver.state() == HandOver.State.FENCED) {
         refusal = Optional.of(ResultCode.FENCED);
       }
+      if (refusal.isEmpty() && !hasRoom(channel, open)) {
+        refusal = Optional.of(ResultCode.OVERLOADED);
+      }
       if (refusal.isPresent()) {
         handOver.fence();
         Outcome.NotRun<?> notRun =
@@ -163,11 +171,16 @@
         return;
       }
       InboundStream stream =
-          new InboundStream(open.getStream(), channel, targetSide, request, handOver, time);
+          new InboundStream(open.getStream(), channel, targetSide, request, handOver, budget, time);
       streams.put(open.getStream(), stream);
       executor.execute(() -> run(open.getStream(), stream));
     }
 
+    // A request on which a running one depends gets the room that is kept for what has begun.
+    private boolean hasRoom(Channel channel, OpenCall open) {
+      return open.getNeeded() || (!budget.isNearlyUsed() && channel.isWritable());
+    }
+
     private Optional<ResultCode> checkIncarnation(OpenCall open) {
       return open.getTargetIncarnation() == identity.incarnation().value()
           ? Optional.empty()
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/FailingTargetSideTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/FailingTargetSideTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.amaranthmoor.daemon.exchange.CallResponse;
 import org.amaranthmoor.daemon.target.LocalTarget;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Outcome;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -61,7 +62,9 @@
             LinkedNodes.FrameFilter.NONE,
             LinkedNodes.FrameFilter.NONE,
             response(bytes),
-            target -> failing(target, method, fails))) {
+            target -> failing(target, method, fails),
+            new ByteBudget(LinkedNodes.UNUSED_BYTES),
+            new ByteBudget(LinkedNodes.UNUSED_BYTES))) {
 
       assertEquals(Outcome.Unknown.class, kind(LinkedNodes.await(nodes.open(true))));
       fails.set(false);
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkFailureTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkFailureTests.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.LoadReport;
 import org.amaranthmoor.model.NodeName;
@@ -81,6 +82,11 @@
           new Outcome.NotRun<>(ResultCode.FENCED, 0, "fenced after the link was lost"));
     }
 
+    @Override
+    public ByteBudget budget() {
+      return new ByteBudget(LinkedNodes.UNUSED_BYTES);
+    }
+
     @Override
     public TimeSource time() {
       return TIME;
@@ -204,6 +210,17 @@
     assertFalse(link.hasPending());
   }
 
+  @Test
+  void nothingIsSentToAPeerThatDoesNotRead() {
+    channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+
+    assertEquals(
+        Optional.empty(),
+        link.open(request(), Optional.empty(), Optional.empty(), 0, TIME.nanos()));
+    assertTrue(link.query(Frames::probe).isCompletedExceptionally());
+    assertFalse(link.hasPending());
+  }
+
   @Test
   void aFailureIsReportedOnce() {
     loseFrameByError();
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkedNodes.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/LinkedNodes.java
@@ -42,6 +42,7 @@
 import org.amaranthmoor.daemon.target.StaticTarget;
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
 import org.amaranthmoor.model.Outcome;
@@ -81,6 +82,9 @@
 
   static final long TIMEOUT_SECONDS = 10;
 
+  /** More than any test sends. */
+  static final long UNUSED_BYTES = 10_000_000;
+
   private static final long RETRY_MILLIS = 20;
 
   private static final TimeSource TIME = TimeSource.system();
@@ -96,6 +100,8 @@
   private final ServerSocket proxy = listen();
   private final ConcurrentLinkedQueue<Socket> sockets = new ConcurrentLinkedQueue<>();
   private final AtomicInteger wholeRequests = new AtomicInteger();
+  private final ByteBudget entryBudget;
+  private final ByteBudget targetBudget;
   private final int nodePort;
   private final PeerServer server;
   private final PeerLinks links;
@@ -108,7 +114,13 @@
    * @param response what the target sends to each request
    */
   LinkedNodes(FrameFilter toTarget, FrameFilter toEntry, String response) throws IOException {
-    this(toTarget, toEntry, response, UnaryOperator.identity());
+    this(
+        toTarget,
+        toEntry,
+        response,
+        UnaryOperator.identity(),
+        new ByteBudget(UNUSED_BYTES),
+        new ByteBudget(UNUSED_BYTES));
   }
 
   /**
@@ -118,13 +130,19 @@
    * @param toEntry receives the frames to the entry side
    * @param response what the target sends to each request
    * @param localTarget wraps what the target side knows of its target
+   * @param entryBudget holds the parts of responses
+   * @param targetBudget holds the parts of requests
    */
   LinkedNodes(
       FrameFilter toTarget,
       FrameFilter toEntry,
       String response,
-      UnaryOperator<LocalTarget> localTarget)
+      UnaryOperator<LocalTarget> localTarget,
+      ByteBudget entryBudget,
+      ByteBudget targetBudget)
       throws IOException {
+    this.entryBudget = entryBudget;
+    this.targetBudget = targetBudget;
     CrashLedger crashes = new CrashLedger();
     RequestQuarantine quarantine =
         new RequestQuarantine(crashes, new RequestFingerprinter(Optional.empty()), TIME);
@@ -141,6 +159,7 @@
             new SuspicionExchange(crashes, membership(), TIME, log),
             new NodeIdentity(new NodeName("server"), INCARNATION),
             executor,
+            targetBudget,
             metrics,
             TIME,
             log);
@@ -152,6 +171,7 @@
             (address, load) -> {},
             new NoticeCache(),
             quarantine,
+            entryBudget,
             metrics,
             TIME,
             log,
@@ -237,6 +257,11 @@
     return exchange.await(TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)).orElseThrow();
   }
 
+  /** Returns how many bytes of bodies both nodes hold. */
+  long heldBytes() {
+    return entryBudget.used() + targetBudget.used();
+  }
+
   /** Returns how many requests the target has received up to their end. */
   int wholeRequestsAtTarget() {
     return wholeRequests.get();
