Repeat the whole step that an Error interrupts at a link, a leave and a new run

- A stream was removed from its link before its frame was handled, so that the loss of the link did not end it if the frame could not be handled: its caller waited until the deadline.
It is removed last.
- A leave whose write an Error ended was written half a second later at the earliest, and the next report of it was acknowledged meanwhile.
The thread that writes it is woken in any case.
- An Error while a target's new run was taken over left the limit and the health of the run before in force.
The state moves after what it stands for.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/InstanceDirectory.java
@@ -376,6 +376,18 @@
    * @param run the run
    */
   void storeLeave(TargetRun run) {
+    boolean stored = false;
+    try {
+      stored = announceAndStoreLeave(run);
+    } finally {
+      // Also after an error, before the leave is reported again.
+      if (!stored) {
+        LockSupport.unpark(thread);
+      }
+    }
+  }
+
+  private boolean announceAndStoreLeave(TargetRun run) {
     Optional<String> failure;
     // A concurrent call for the same run waits for this write.
     synchronized (writeLock) {
@@ -390,15 +402,15 @@
         leavesAnnounced = true;
       }
       if (!added) {
-        return;
+        return true;
       }
       failure = write();
     }
-    if (failure.isPresent()) {
-      log.warn(
-          "leave-not-kept", () -> "run=" + run.id() + " detail=" + EventLog.quote(failure.get()));
-      LockSupport.unpark(thread);
-    }
+    failure.ifPresent(
+        detail ->
+            log.warn(
+                "leave-not-kept", () -> "run=" + run.id() + " detail=" + EventLog.quote(detail)));
+    return failure.isEmpty();
   }
 
   private boolean applyRecords(SharedRecords.ReadResult.AllRecords all) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/TargetRegistry.java
@@ -177,14 +177,14 @@
       return;
     }
     refreshIncomplete = true;
+    if (ready.isPresent() && !sameRun) {
+      health.reset();
+    }
     openReport = ready;
     if (ready.isPresent()) {
-      if (!sameRun) {
-        health.reset();
-      }
       if (!lastOpenRun.equals(ready.map(TargetLifecycle.Report::run))) {
-        lastOpenRun = ready.map(TargetLifecycle.Report::run);
         targetSide.onNewRun();
+        lastOpenRun = ready.map(TargetLifecycle.Report::run);
       }
       targetSide.open(admissionLimits(ready.get().serving().slots()));
     } else {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/OutboundStream.java
@@ -125,24 +125,26 @@
     sendWindow.grant(bytes);
   }
 
+  // A stream is removed last, so that the loss of the link ends it if a frame cannot be handled.
+
   void onRefused(Refused refused) {
-    link.removeStream(this);
     complete(
         new Outcome.NotRun<>(
             Frames.toCode(refused), refused.getRetryAfterMillis(), refused.getDetail()));
+    link.removeStream(this);
   }
 
   void onFailed(Failed failed) {
-    link.removeStream(this);
     responseBody.fail(failed.getDetail());
     complete(new Outcome.Unknown<>(Frames.toCode(failed), failed.getDetail()));
+    link.removeStream(this);
   }
 
   void onHead(ResponseHead head) {
     if (head.getComplete()) {
-      link.removeStream(this);
       CallResponse.Body buffered = new CallResponse.Body.Buffered(head.getBody().toByteArray());
       complete(new Outcome.Answered<>(Frames.toResponse(head, buffered)));
+      link.removeStream(this);
       return;
     }
     EndNotifyingBody body =
@@ -152,10 +154,10 @@
   }
 
   void onData(Frame frame) {
+    receivedBody.onData(frame.getData());
     if (frame.getData().getLast()) {
       link.removeStream(this);
     }
-    receivedBody.onData(frame.getData());
   }
 
   /** Completes the request with the outcome that was determined after the link was lost. */
