Take no place for a connection that could not be added

If an idle connection could not be retired for a new one, as on a full heap, the new connection was reset but stayed counted as accepted, so that its place was taken for good. It is removed whenever no thread takes it over. The accepting thread also pauses after a failure even if it cannot close an idle connection.

FailingListenerTests.keepsNoPlaceForAConnectionIfAnIdleOneCannotMakeRoom fails without the change: one connection stays counted.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HttpListener.java
@@ -261,12 +261,16 @@
     acceptFailures.incrementAndGet();
     settings.errors().onError(failure);
     try {
-      connections.closeLongestIdle(settings.time().nanos());
       Thread.sleep(ACCEPT_PAUSE_MILLIS);
-      log.warn("accept-failed", () -> name() + " error=" + EventLog.quote(failure.toString()));
-    } catch (InterruptedException | RuntimeException | Error e) {
+    } catch (InterruptedException | Error e) {
       // Only close() ends the accepting thread.
     }
+    try {
+      connections.closeLongestIdle(settings.time().nanos());
+      log.warn("accept-failed", () -> name() + " error=" + EventLog.quote(failure.toString()));
+    } catch (RuntimeException | Error e) {
+      // As above.
+    }
   }
 
   // The socket is closed if no thread takes it over.
@@ -283,16 +287,27 @@
 
   private boolean start(Socket socket) {
     AcceptedConnection connection = new AcceptedConnection(socket);
-    ConnectionAdmission.Decision decision = connections.add(connection, settings.time().nanos());
+    boolean started = false;
+    try {
+      started = start(connection, connections.add(connection, settings.time().nanos()));
+    } finally {
+      if (!started) {
+        connections.remove(connection);
+      }
+    }
+    return started;
+  }
+
+  private boolean start(AcceptedConnection connection, ConnectionAdmission.Decision decision) {
     switch (decision) {
-      case ACCEPT -> start(connection, () -> connections.remove(connection));
+      case ACCEPT -> executor.execute(connection);
       case REPLACE_IDLE -> {
         replacedCount.incrementAndGet();
-        start(connection, () -> connections.remove(connection));
+        executor.execute(connection);
       }
       case REFUSE -> {
         refusedCount.incrementAndGet();
-        start(() -> refuse(socket), connections::endRefusal);
+        startRefusal(connection.socket);
         logIfFull();
       }
       case DROP -> {
@@ -303,14 +318,14 @@
     return decision != ConnectionAdmission.Decision.DROP;
   }
 
-  private void start(Runnable task, Runnable onFailure) {
+  private void startRefusal(Socket socket) {
     boolean started = false;
     try {
-      executor.execute(task);
+      executor.execute(() -> refuse(socket));
       started = true;
     } finally {
       if (!started) {
-        onFailure.run();
+        connections.endRefusal();
       }
     }
   }
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionTableTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/ConnectionTableTests.java
@@ -6,6 +6,7 @@
 import static org.amaranthmoor.connection.ConnectionAdmission.Decision.REPLACE_IDLE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -25,6 +26,7 @@
 
     private boolean bytesWaiting;
     private boolean retired;
+    private boolean failing;
 
     @Override
     public boolean hasBytesWaiting() {
@@ -33,6 +35,9 @@
 
     @Override
     public void retire() {
+      if (failing) {
+        throw new OutOfMemoryError("thrown by a test");
+      }
       retired = true;
     }
   }
@@ -103,6 +108,20 @@
     assertEquals(new ConnectionTable.Counts(1, 1, 0), table.counts());
   }
 
+  @Test
+  void aFailureToRetireAConnectionTakesNoPlace() {
+    FakeConnection idle = addKept();
+    idle.failing = true;
+    addActive();
+    FakeConnection added = new FakeConnection();
+
+    assertThrows(OutOfMemoryError.class, () -> table.add(added, LATER_NANOS));
+    table.remove(added);
+
+    assertEquals(new ConnectionTable.Counts(0, 1, 0), table.counts());
+    assertFalse(table.beginRequest(idle));
+  }
+
   @Test
   void keepsAnIdleConnectionOnWhichBytesWait() {
     FakeConnection first = addKept();
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.amaranthmoor.connection.ConnectionAdmission;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.TimeSource;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
@@ -57,6 +58,15 @@
 
   private void listen(
       ServerSocket socket, HttpListener.ConnectionFactory factory, Executor executor) {
+    listen(
+        socket, ListenerSettings.forControl("test", errors::add, TimeSource.system(), log), factory, executor);
+  }
+
+  private void listen(
+      ServerSocket socket,
+      ListenerSettings settings,
+      HttpListener.ConnectionFactory factory,
+      Executor executor) {
     listener =
         new HttpListener(
             socket,
@@ -66,7 +76,7 @@
               }
               trigger.submitResponse(new BasicClassicHttpResponse(204));
             },
-            ListenerSettings.forControl("test", errors::add, TimeSource.system(), log),
+            settings,
             factory,
             executor);
   }
@@ -109,7 +119,11 @@
   }
 
   private void assertNoConnectionIsLeft() {
-    while (!listener.connectionCounts().equals(new ConnectionTable.Counts(0, 0, 0))) {
+    awaitCounts(new ConnectionTable.Counts(0, 0, 0));
+  }
+
+  private void awaitCounts(ConnectionTable.Counts expected) {
+    while (!listener.connectionCounts().equals(expected)) {
       Thread.onSpinWait();
     }
   }
@@ -165,6 +179,49 @@
     assertNoConnectionIsLeft();
   }
 
+  @Test
+  void keepsNoPlaceForAConnectionIfAnIdleOneCannotMakeRoom() throws Exception {
+    ServerSocket socket =
+        new ServerSocket() {
+          @Override
+          public Socket accept() throws IOException {
+            Socket accepted =
+                new Socket() {
+                  @Override
+                  public void shutdownInput() throws IOException {
+                    failIfRequired();
+                    super.shutdownInput();
+                  }
+                };
+            implAccept(accepted);
+            return accepted;
+          }
+        };
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    ListenerSettings single =
+        new ListenerSettings(
+            "single",
+            new ConnectionAdmission(1, 1),
+            ListenerSettings::unavailable,
+            errors::add,
+            TimeSource.system(),
+            log);
+    listen(socket, single, ServerConnection::new, Executors.newVirtualThreadPerTaskExecutor());
+    try (Socket idle = connect()) {
+      send(idle, "/");
+      assertEquals('H', idle.getInputStream().read());
+      awaitCounts(new ConnectionTable.Counts(1, 0, 0));
+      failing.set(true);
+
+      try (Socket client = connect()) {
+        assertEndsWithoutResponse(client);
+      }
+
+      assertEquals(new ConnectionTable.Counts(0, 0, 0), listener.connectionCounts());
+    }
+    assertServes();
+  }
+
   @Test
   void closesAConnectionWhoseBuffersCannotBeAllocated() throws Exception {
     listen(
