Close the streamed response of a call that is given up beside its target

An entry side that gives a call up at the moment of its outcome cancels the exchange and never reads the response. The connection was aborted, but the end of an exchange is recorded by the reader of its body, so a long response kept the target's slot and counted as in progress for good. No Error is needed for that, and one that follows the outcome has the same effect.

A cancelled exchange closes its response, whichever comes first. The outcome of a target side that fails is created in advance, as a full heap may be the cause.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.amaranthmoor.daemon.exchange.BodyPipe;
 import org.amaranthmoor.daemon.exchange.CallRequest;
 import org.amaranthmoor.daemon.exchange.CallResponse;
@@ -26,9 +27,15 @@
  */
 final class LocalExchange implements Exchange {
 
+  // Created in advance, as a full heap may be the cause.
+  private static final Outcome<CallResponse> FAILED =
+      new Outcome.Unknown<>(ResultCode.NODE_FAILED, "the target side failed unexpectedly");
+
   private final CompletableFuture<Outcome<CallResponse>> outcome = new CompletableFuture<>();
+  private final AtomicBoolean responseClosed = new AtomicBoolean();
   private final BodyPipe body;
   private final InboundCall call;
+  private volatile boolean cancelled;
 
   private LocalExchange(CallRequest request, TimeSource time) {
     this.body =
@@ -49,9 +56,19 @@
       outcome.complete(targetSide.run(call));
     } finally {
       // An unexpected failure must not leave the caller without an outcome.
-      outcome.complete(
-          new Outcome.Unknown<>(ResultCode.NODE_FAILED, "the target side failed unexpectedly"));
+      outcome.complete(FAILED);
       body.close();
+      if (cancelled) {
+        closeResponse();
+      }
+    }
+  }
+
+  // A response that nobody reads would hold its slot.
+  private void closeResponse() {
+    if (outcome.getNow(FAILED) instanceof Outcome.Answered<CallResponse> answered
+        && responseClosed.compareAndSet(false, true)) {
+      answered.response().close();
     }
   }
 
@@ -83,7 +100,12 @@
 
   @Override
   public void cancel() {
-    body.fail("the call was cancelled");
-    call.cancel();
+    cancelled = true;
+    try {
+      body.fail("the call was cancelled");
+    } finally {
+      call.cancel();
+      closeResponse();
+    }
   }
 }
