End a call at the entry side after an Error

An Error while an exchange was opened, or while the body of a caller was read, left the call in flight at its server in the statistics, so that the server was avoided from then on, and the request went on at the target with nobody to read its response. The caller's connection was closed without a response. An Error between the outcome and the response's head left a streamed body unread, which holds its slot.

An attempt that does not end is abandoned in the statistics and its exchange is cancelled; a response that is not passed on is closed; a call that fails by an Error is answered as unknown, like one that fails by a RuntimeException; and a request for which there is no memory while it is read is refused as not run. A response that an Error cuts off leaves its line.

Refusing a request that cannot be read has no test of its own.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -142,7 +142,17 @@
                   "no rule matches the method, host and path of the request")));
       return;
     }
-    switch (parser.parse(http, route.get())) {
+    Optional<CallRequestParser.ParseResult> parsed = parse(http, route.get());
+    if (parsed.isEmpty()) {
+      new HttpCallerConnection(http, context).limitDrain();
+      submitAndClose(
+          trigger,
+          dialect.notRunResponse(
+              new Outcome.NotRun<>(
+                  ResultCode.NODE_BUSY, 0, "the node has no memory for the request")));
+      return;
+    }
+    switch (parsed.get()) {
       case CallRequestParser.ParseResult.Invalid invalid ->
           trigger.submitResponse(dialect.notRunResponse(invalid.refusal()));
       case CallRequestParser.ParseResult.Valid valid ->
@@ -150,14 +160,39 @@
     }
   }
 
+  // Empty if the heap is full; the request has reached no target.
+  private Optional<CallRequestParser.ParseResult> parse(ClassicHttpRequest http, Route route)
+      throws IOException {
+    try {
+      return Optional.of(parser.parse(http, route));
+    } catch (OutOfMemoryError e) {
+      log.warn("request-not-read", () -> "error=" + EventLog.quote(e.toString()));
+      return Optional.empty();
+    }
+  }
+
   private void serve(
       CallRequest request, ClassicHttpRequest http, ResponseTrigger trigger, HttpContext context)
       throws HttpException, IOException {
     HttpCallerConnection caller = new HttpCallerConnection(http, context);
     EntrySide.CallResult result = serveOrFail(request, caller);
-    if (!result.isSuccess()) {
-      firstAttemptEstimator.onNotServed(request.rule(), time.nanos());
+    try {
+      if (!result.isSuccess()) {
+        firstAttemptEstimator.onNotServed(request.rule(), time.nanos());
+      }
+      respond(request, result, http, trigger, caller);
+    } finally {
+      closeBody(result.outcome());
     }
+  }
+
+  private void respond(
+      CallRequest request,
+      EntrySide.CallResult result,
+      ClassicHttpRequest http,
+      ResponseTrigger trigger,
+      HttpCallerConnection caller)
+      throws HttpException, IOException {
     ClassicHttpResponse response =
         switch (result.outcome()) {
           case Outcome.Answered<CallResponse> answered ->
@@ -180,7 +215,7 @@
   private EntrySide.CallResult serveOrFail(CallRequest request, HttpCallerConnection caller) {
     try {
       return entrySide.serve(request, caller);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       log.warn(
           "call-failed", () -> "id=" + request.id() + " error=" + EventLog.quote(e.toString()));
       return new EntrySide.CallResult(
@@ -234,13 +269,12 @@
             : Optional.empty();
     try {
       trigger.submitResponse(response);
-    } catch (IOException | HttpException | RuntimeException e) {
+    } catch (IOException | HttpException | RuntimeException | Error e) {
       boolean reset = watched.isPresent() && !watched.get().close();
       logCutOff(request, response.getCode(), reset, e);
       throw e;
     } finally {
       watched.ifPresent(DeadlineWatch.Watched::close);
-      closeBody(outcome);
     }
   }
 
@@ -251,7 +285,7 @@
     }
   }
 
-  private void logCutOff(CallRequest request, int status, boolean reset, Exception cause) {
+  private void logCutOff(CallRequest request, int status, boolean reset, Throwable cause) {
     long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - time.nanos());
     log.requestFailed(
         "response-cut-off",
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -158,8 +158,22 @@
         refusal(request, startNanos)
             .map(refusal -> new CallResult(refusal, Optional.empty(), ""))
             .orElseGet(() -> tryServers(request, caller, service.get()));
+    boolean recorded = false;
+    try {
+      record(request, service.get(), result, startNanos);
+      recorded = true;
+      return result;
+    } finally {
+      if (!recorded && result.outcome() instanceof Outcome.Answered<CallResponse> answered) {
+        answered.response().close();
+      }
+    }
+  }
+
+  private void record(
+      CallRequest request, ServiceSnapshot service, CallResult result, long startNanos) {
     long durationNanos = time.nanos() - startNanos;
-    recordCall(service.get(), result.outcome(), durationNanos);
+    recordCall(service, result.outcome(), durationNanos);
     Supplier<String> line =
         () ->
             "id="
@@ -187,7 +201,6 @@
     } else {
       log.requestFailed("call", line);
     }
-    return result;
   }
 
   private CallRequest withLimitedDeadline(CallRequest request) {
@@ -254,20 +267,30 @@
           new Attempt(
               request.withAttempt(attemptNumber, choice.get().maxWaitPercent()), service, server);
       Outcome<CallResponse> outcome = attempt.run(caller);
-      attemptPlan.onReply(choice.get(), reply(outcome), time.nanos());
-      if (mayHaveReachedTarget(outcome)) {
-        reachedTargets++;
-        attemptPlan.onReached(server);
-      }
-      String attempts = result.attempts() + server.node() + ":" + outcomeLabel(outcome) + ",";
-      result =
-          new CallResult(
-              preferredOutcome(result.outcome(), outcome), Optional.of(server), attempts);
-      if (!tryAcquireRetry(request, service, attemptPlan, reachedTargets, attempt, outcome)) {
-        return result;
-      }
-      if (mayHaveReachedTarget(outcome)) {
-        metrics.countRetry();
+      boolean kept = false;
+      try {
+        attemptPlan.onReply(choice.get(), reply(outcome), time.nanos());
+        if (mayHaveReachedTarget(outcome)) {
+          reachedTargets++;
+          attemptPlan.onReached(server);
+        }
+        String attempts = result.attempts() + server.node() + ":" + outcomeLabel(outcome) + ",";
+        result =
+            new CallResult(
+                preferredOutcome(result.outcome(), outcome), Optional.of(server), attempts);
+        boolean retries =
+            tryAcquireRetry(request, service, attemptPlan, reachedTargets, attempt, outcome);
+        if (retries && mayHaveReachedTarget(outcome)) {
+          metrics.countRetry();
+        }
+        kept = true;
+        if (!retries) {
+          return result;
+        }
+      } finally {
+        if (!kept && outcome instanceof Outcome.Answered<CallResponse> answered) {
+          answered.response().close();
+        }
       }
     }
     return result;
@@ -402,6 +425,7 @@
     private final Server server;
     private boolean callerBodyRead;
     private boolean callerLeft;
+    private boolean recorded;
 
     Attempt(CallRequest request, ServiceSnapshot service, Server server) {
       this.request = request;
@@ -412,18 +436,42 @@
     Outcome<CallResponse> run(CallerConnection caller) {
       long startNanos = time.nanos();
       server.stats().onStart(startNanos);
-      long offset = snapshots.current().map(RoutingSnapshot::offset).orElse(-1L);
-      Optional<Exchange> exchange = connector.open(server, request, offset);
-      sendProbe();
-      Outcome<CallResponse> outcome =
-          exchange
-              .map(open -> runExchange(open, caller))
-              .orElseGet(
-                  () ->
-                      notRun(
-                          ResultCode.NODE_UNREACHABLE, "the node of the target cannot be reached"));
-      recordOutcome(outcome, time.nanos() - startNanos);
-      return outcome;
+      Optional<Exchange> exchange = Optional.empty();
+      boolean ended = false;
+      try {
+        long offset = snapshots.current().map(RoutingSnapshot::offset).orElse(-1L);
+        exchange = connector.open(server, request, offset);
+        sendProbe();
+        Outcome<CallResponse> outcome =
+            exchange
+                .map(open -> runExchange(open, caller))
+                .orElseGet(
+                    () ->
+                        notRun(
+                            ResultCode.NODE_UNREACHABLE,
+                            "the node of the target cannot be reached"));
+        recordOutcome(outcome, time.nanos() - startNanos);
+        ended = true;
+        return outcome;
+      } finally {
+        if (!ended) {
+          giveUp(exchange);
+        }
+      }
+    }
+
+    // After an unexpected failure, which says nothing about the server.
+    private void giveUp(Optional<Exchange> exchange) {
+      try {
+        if (!recorded) {
+          recorded = true;
+          server.stats().onAbandon(false, time.nanos());
+        }
+      } finally {
+        if (exchange.isPresent()) {
+          exchange.get().cancel();
+        }
+      }
     }
 
     private Outcome<CallResponse> runExchange(Exchange exchange, CallerConnection caller) {
@@ -506,6 +554,7 @@
       // That a caller leaves is no failure of the server.
       boolean failed = !callerLeft && isFailure(outcome);
       boolean hasAnswer = outcome instanceof Outcome.Answered<CallResponse>;
+      recorded = true;
       if (hasAnswer) {
         server.stats().onFinish(latencyNanos, failed, nowNanos);
       } else {
