End a process that can start no thread any more

With 3,062 connections open that each had sent half a head, a process of a 40 MB heap kept its accept threads, event loop and tick, and answered nothing for over two minutes, also after its clients had gone: the heap was full of connections whose virtual threads found no memory to notice that. The process now ends if no virtual thread has run for twenty checks in a row, half a second apart. A process that was suspended counts no checks. The last line has memory set aside and is tried again: without, a run with 1,195 connections exited without the line.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/ProcessSupervisor.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/ProcessSupervisor.java
@@ -1,7 +1,9 @@
 package org.amaranthmoor.daemon;
 
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
@@ -23,11 +25,33 @@
   /** Interval at which the node is checked, in nanoseconds. */
   private static final long CHECK_INTERVAL_NANOS = 500_000_000L;
 
+  /**
+   * Number of checks in a row, ten seconds, during which no thread could be started and run, after
+   * which the node has failed: no request could be served either. Checks are counted instead of the
+   * time, so that a process that was suspended does not count as failed.
+   */
+  static final int MAX_CHECKS_WITHOUT_PROGRESS = 20;
+
+  /** Memory that is set aside for the last lines of the process, in bytes. */
+  private static final int RESERVE_BYTES = 256 * 1_024;
+
+  /** Number of attempts to write the last line. */
+  private static final int LOG_ATTEMPTS = 5;
+
+  /** Time between two attempts, in nanoseconds. */
+  private static final long ATTEMPT_INTERVAL_NANOS = 20_000_000L;
+
   private final EventLog log;
   private final Runnable flushLog;
   private final IntConsumer halt;
+  private final Runnable recordProgress = this::recordProgress;
+  private volatile boolean progress = true;
+  // Used by the supervising thread.
+  private int checksWithoutProgress;
   private final AtomicLong threadFailures = new AtomicLong();
   private volatile ErrorListener listener = ErrorListener.NONE;
+  // Released before the last line is written, as the heap may be full.
+  private final AtomicReference<byte[]> reserve = new AtomicReference<>(new byte[RESERVE_BYTES]);
 
   /**
    * Creates a supervisor.
@@ -40,6 +64,8 @@
     this.log = log;
     this.flushLog = flushLog;
     this.halt = halt;
+    // Loads the class, for which a full heap has no room.
+    var unused = ThreadEnd.of("");
   }
 
   /**
@@ -83,11 +109,34 @@
    */
   public void supervise(Supplier<Optional<String>> failure) {
     while (true) {
-      LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
-      endIfFailed(failure);
+      try {
+        LockSupport.parkNanos(CHECK_INTERVAL_NANOS);
+        endIfFailed(failure);
+        endWithoutProgress(Thread::startVirtualThread);
+      } catch (RuntimeException | Error e) {
+        // The supervision goes on whatever fails.
+        checksWithoutProgress++;
+      }
+    }
+  }
+
+  void endWithoutProgress(Executor executor) {
+    checksWithoutProgress = progress ? 0 : checksWithoutProgress + 1;
+    progress = false;
+    if (checksWithoutProgress >= MAX_CHECKS_WITHOUT_PROGRESS) {
+      end("no thread can be started");
+    }
+    try {
+      executor.execute(recordProgress);
+    } catch (RuntimeException | Error e) {
+      listener.onError(e);
     }
   }
 
+  private void recordProgress() {
+    progress = true;
+  }
+
   void endIfFailed(Supplier<Optional<String>> failure) {
     try {
       failure.get().ifPresent(this::end);
@@ -103,12 +152,24 @@
    * @param cause what the node cannot serve without
    */
   public void end(String cause) {
+    reserve.set(null);
     try {
-      log.warn("node-failed", () -> "cause=" + EventLog.quote(cause));
+      logEnd(cause);
       flushLog.run();
     } catch (RuntimeException | Error e) {
       // The exit status shows the failure.
     }
     halt.accept(FAILED_STATUS);
   }
+
+  private void logEnd(String cause) {
+    for (int attempt = 0; attempt < LOG_ATTEMPTS; attempt++) {
+      long lostLines = log.suppressedLines();
+      log.warn("node-failed", () -> "cause=" + EventLog.quote(cause));
+      if (log.suppressedLines() == lostLines) {
+        return;
+      }
+      LockSupport.parkNanos(ATTEMPT_INTERVAL_NANOS);
+    }
+  }
 }
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/ProcessSupervisorTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/ProcessSupervisorTests.java
@@ -98,4 +98,31 @@
 
     assertEquals(List.of(ProcessSupervisor.FAILED_STATUS), exits);
   }
+
+  // A full heap kept all threads of requests from running, while the process seemed sound.
+  @Test
+  void aProcessThatCanRunNoThreadForManyChecksEnds() {
+    for (int i = 0; i < ProcessSupervisor.MAX_CHECKS_WITHOUT_PROGRESS; i++) {
+      supervisor.endWithoutProgress(ProcessSupervisorTests::failToStart);
+    }
+    assertEquals(List.of(), exits);
+
+    supervisor.endWithoutProgress(ProcessSupervisorTests::failToStart);
+
+    assertEquals(List.of(ProcessSupervisor.FAILED_STATUS), exits);
+  }
+
+  @Test
+  void aThreadThatRunsOnceInAWhileKeepsTheProcessAlive() {
+    for (int i = 0; i < 10 * ProcessSupervisor.MAX_CHECKS_WITHOUT_PROGRESS; i++) {
+      boolean runs = i % ProcessSupervisor.MAX_CHECKS_WITHOUT_PROGRESS == 0;
+      supervisor.endWithoutProgress(runs ? Runnable::run : ProcessSupervisorTests::failToStart);
+    }
+
+    assertEquals(List.of(), exits);
+  }
+
+  private static void failToStart(Runnable task) {
+    throw new OutOfMemoryError("test");
+  }
 }
