Refuse new calls for a moment after a call ran out of memory

A call that an OutOfMemoryError ended was answered, but the node went on to take as many new ones, which fail likewise. The handler of calls passes its failures on to the node's MemoryPressure, as the listeners do, and the entry side refuses new calls with NODE_BUSY, not run, while the node is short.

EntrySideErrorTests checks that the failure is passed on; that calls are refused meanwhile has no test of its own but that of MemoryPressure.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/NodeDaemon.java
@@ -195,14 +195,21 @@
             links,
             shedder,
             quarantine,
-            bodyBytes,
+            this::isShortOfMemory,
             metrics,
             time,
             log);
     CallerDialect callerDialect = new NativeCallerDialect(time);
     this.callerHandler =
         new CallerHandler(
-            views, entrySide, callerDialect, targetSide::runningAttempt, deadlineWatch, time, log);
+            views,
+            entrySide,
+            callerDialect,
+            targetSide::runningAttempt,
+            deadlineWatch,
+            this::onError,
+            time,
+            log);
     PlatformLog platformLog = new HttpPlatformLog(settings.platform());
     StateReader stateReader = new StateReader(platformLog);
     this.announcer = new Announcer(settings, identity, platformLog, log);
@@ -527,6 +534,10 @@
     memoryPressure.onError(error, time.nanos());
   }
 
+  private boolean isShortOfMemory() {
+    return bodyBytes.isNearlyUsed() || memoryPressure.isShort(time.nanos());
+  }
+
   /** {@return why this node cannot serve any more although it was not stopped, or empty} */
   public Optional<String> failure() {
     return group.isShuttingDown() && !closed.get() ? EVENT_LOOP_ENDED : Optional.empty();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/CallerHandler.java
@@ -16,6 +16,7 @@
 import org.amaranthmoor.daemon.http.DrainedEntity;
 import org.amaranthmoor.daemon.http.HttpListener;
 import org.amaranthmoor.daemon.http.StreamedEntity;
+import org.amaranthmoor.daemon.log.ErrorListener;
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
@@ -52,6 +53,7 @@
   private final CallerDialect dialect;
   private final FirstAttemptEstimator firstAttemptEstimator = new FirstAttemptEstimator();
   private final DeadlineWatch deadlineWatch;
+  private final ErrorListener errors;
   private final TimeSource time;
   private final EventLog log;
   private final AtomicInteger callsInProgress = new AtomicInteger();
@@ -66,6 +68,7 @@
    * @param dialect parses requests and creates responses
    * @param runningRequests looks up the requests that run at the target beside this node
    * @param deadlineWatch resets connections to callers that do not receive a response in time
+   * @param errors receives the failures that end a call
    * @param time the time source
    * @param log receives responses that were cut off
    */
@@ -75,12 +78,14 @@
       CallerDialect dialect,
       RunningRequests runningRequests,
       DeadlineWatch deadlineWatch,
+      ErrorListener errors,
       TimeSource time,
       EventLog log) {
     this.snapshots = snapshots;
     this.entrySide = entrySide;
     this.dialect = dialect;
     this.deadlineWatch = deadlineWatch;
+    this.errors = errors;
     this.time = time;
     this.log = log;
     this.parser = new CallRequestParser(dialect, runningRequests, firstAttemptEstimator, time);
@@ -166,6 +171,7 @@
     try {
       return Optional.of(parser.parse(http, route));
     } catch (OutOfMemoryError e) {
+      errors.onError(e);
       log.warn("request-not-read", () -> "error=" + EventLog.quote(e.toString()));
       return Optional.empty();
     }
@@ -216,6 +222,7 @@
     try {
       return entrySide.serve(request, caller);
     } catch (RuntimeException | Error e) {
+      errors.onError(e);
       log.warn(
           "call-failed", () -> "id=" + request.id() + " error=" + EventLog.quote(e.toString()));
       return new EntrySide.CallResult(
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/EntrySide.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.amaranthmoor.balance.AttemptPlan;
 import org.amaranthmoor.balance.Ejection;
@@ -18,7 +19,6 @@
 import org.amaranthmoor.daemon.log.EventLog;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
 import org.amaranthmoor.daemon.node.PeerLinks;
-import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.IdempotencyKey;
 import org.amaranthmoor.model.Outcome;
 import org.amaranthmoor.model.ResultCode;
@@ -63,7 +63,7 @@
   private final PeerLinks links;
   private final LoadShedder loadShedder;
   private final RequestQuarantine quarantine;
-  private final ByteBudget budget;
+  private final BooleanSupplier shortOfMemory;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final EventLog log;
@@ -79,7 +79,7 @@
    * @param links links to other nodes, which carry probes
    * @param loadShedder decides which calls are refused when processor time is short
    * @param quarantine refuses requests that must reach no target
-   * @param budget what the received parts of bodies are taken from
+   * @param shortOfMemory whether the memory of the node is needed for what has begun
    * @param metrics counts calls
    * @param time the time source
    * @param log receives the outcomes of calls
@@ -91,7 +91,7 @@
       PeerLinks links,
       LoadShedder loadShedder,
       RequestQuarantine quarantine,
-      ByteBudget budget,
+      BooleanSupplier shortOfMemory,
       NodeMetrics metrics,
       TimeSource time,
       EventLog log) {
@@ -101,7 +101,7 @@
     this.links = links;
     this.loadShedder = loadShedder;
     this.quarantine = quarantine;
-    this.budget = budget;
+    this.shortOfMemory = shortOfMemory;
     this.metrics = metrics;
     this.time = time;
     this.log = log;
@@ -219,13 +219,13 @@
                         new Outcome.NotRun<>(
                             ResultCode.NODE_BUSY,
                             0,
-                            "the node sheds load because its processor time or its memory is short")));
+                            "the node sheds load because its processor time or memory is short")));
   }
 
   private boolean admits(CallRequest request, long nowNanos) {
     double randomValue = ThreadLocalRandom.current().nextDouble();
     return request.nested()
-        || (!budget.isNearlyUsed()
+        || (!shortOfMemory.getAsBoolean()
             && loadShedder.admits(request.priority(), randomValue, nowNanos));
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -271,13 +271,20 @@
             links,
             shedder,
             quarantine,
-            bodyBytes,
+            this::isShortOfMemory,
             metrics,
             time,
             log);
     this.callerHandler =
         new CallerHandler(
-            views, entrySide, callerDialect, targetSide::runningAttempt, deadlineWatch, time, log);
+            views,
+            entrySide,
+            callerDialect,
+            targetSide::runningAttempt,
+            deadlineWatch,
+            this::onError,
+            time,
+            log);
     this.directory =
         new InstanceDirectory(
             settings,
@@ -549,6 +556,10 @@
     return !stopping && views.current().isPresent() && !memoryPressure.isShort(time.nanos());
   }
 
+  private boolean isShortOfMemory() {
+    return bodyBytes.isNearlyUsed() || memoryPressure.isShort(time.nanos());
+  }
+
   /**
    * Records a failure that this node survived.
    *
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/caller/EntrySideErrorTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/caller/EntrySideErrorTests.java
@@ -20,7 +20,9 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -50,6 +52,7 @@
 import org.amaranthmoor.daemon.target.StoredResponse;
 import org.amaranthmoor.daemon.target.TargetConnectionPool;
 import org.amaranthmoor.daemon.target.TargetSide;
+import org.amaranthmoor.model.ByteBudget;
 import org.amaranthmoor.model.CallId;
 import org.amaranthmoor.model.Incarnation;
 import org.amaranthmoor.model.NodeName;
@@ -98,6 +101,7 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final RequestQuarantine quarantine =
       new RequestQuarantine(new CrashLedger(), new RequestFingerprinter(Optional.empty()), time);
+  private final Queue<Throwable> errors = new ConcurrentLinkedQueue<>();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -145,6 +149,7 @@
             (address, load) -> {},
             new NoticeCache(),
             quarantine,
+            new ByteBudget(Long.MAX_VALUE),
             metrics,
             time,
             log,
@@ -158,6 +163,7 @@
             links,
             new LoadShedder(time.nanos()),
             quarantine,
+            () -> false,
             metrics,
             time,
             log);
@@ -292,6 +298,7 @@
         dialect,
         id -> OptionalInt.empty(),
         new DeadlineWatch(threads),
+        errors::add,
         time,
         log);
   }
@@ -307,6 +314,7 @@
             throw new HeapFullError();
           };
       assertEquals(502, statusOfHttpCall(listener, "/"));
+      assertInstanceOf(HeapFullError.class, errors.poll());
 
       executor = threads;
       assertEquals(200, statusOfHttpCall(listener, "/"));
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/http/FailingListenerTests.java
@@ -59,7 +59,10 @@
   private void listen(
       ServerSocket socket, HttpListener.ConnectionFactory factory, Executor executor) {
     listen(
-        socket, ListenerSettings.forControl("test", errors::add, TimeSource.system(), log), factory, executor);
+        socket,
+        ListenerSettings.forControl("test", errors::add, TimeSource.system(), log),
+        factory,
+        executor);
   }
 
   private void listen(
