Expect a refusal of a request that an Error ends before its hand-over

FailingTargetSideTests expected each request that an Error ends to be unknown: the target side let the Error pass, so the link could not tell whether the request had been handed over. The target side now fences a request that it has not handed over and reports it as not run, so the two steps before the hand-over (refusalCode, destination) failed the test.

The test now states for each step which of the two outcomes it must have, and takes no other: unknown after the hand-over as before, not run before it.

--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/FailingTargetSideTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/FailingTargetSideTests.java
@@ -47,15 +47,17 @@
     return outcome.getClass();
   }
 
+  // A request that was not handed over is fenced, so that it never runs.
   @ParameterizedTest
   @CsvSource({
-    "refusalCode, 1",
-    "destination, 1",
-    "onExchangeEnd, 1",
-    "newestRun, 1",
-    "newestRun, " + BODY_BYTES
+    "refusalCode, 1, false",
+    "destination, 1, false",
+    "onExchangeEnd, 1, true",
+    "newestRun, 1, true",
+    "newestRun, " + BODY_BYTES + ", true"
   })
-  void theRequestEndsAsUnknownAndTheNextOneIsServed(String method, int bytes) throws Exception {
+  void theRequestEndsAsUnknownOnceHandedOverAndTheNextOneIsServed(
+      String method, int bytes, boolean handedOver) throws Exception {
     AtomicBoolean fails = new AtomicBoolean(true);
     try (LinkedNodes nodes =
         new LinkedNodes(
@@ -66,7 +68,8 @@
             new ByteBudget(LinkedNodes.UNUSED_BYTES),
             new ByteBudget(LinkedNodes.UNUSED_BYTES))) {
 
-      assertEquals(Outcome.Unknown.class, kind(LinkedNodes.await(nodes.open(true))));
+      Class<?> expected = handedOver ? Outcome.Unknown.class : Outcome.NotRun.class;
+      assertEquals(expected, kind(LinkedNodes.await(nodes.open(true))));
       fails.set(false);
       assertInstanceOf(
           Outcome.Answered.class, LinkedNodes.await(nodes.open(true)), "the next request");
