--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/Frames.java
@@ -1,6 +1,5 @@
 package org.amaranthmoor.daemon.node;
 
-import com.google.protobuf.UnknownFieldSet;
 import com.google.protobuf.UnsafeByteOperations;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,13 +50,6 @@
 
   private static final long NANOS_PER_MICRO = 1_000;
 
-  /**
-   * Field of a last Data message: the number of body bytes in all Data messages of the stream. It
-   * is read and written as {@code optional uint64 total_bytes = 4} would be; earlier builds skip
-   * it.
-   */
-  private static final int TOTAL_BYTES_FIELD = 4;
-
   private Frames() {}
 
   static Frame openCall(
@@ -147,14 +139,12 @@
   }
 
   static Frame lastData(long stream, byte[] bytes, long totalBytes) {
-    UnknownFieldSet.Field total = UnknownFieldSet.Field.newBuilder().addVarint(totalBytes).build();
     Data data =
         Data.newBuilder()
             .setStream(stream)
             .setBytes(UnsafeByteOperations.unsafeWrap(bytes))
             .setLast(true)
-            .setUnknownFields(
-                UnknownFieldSet.newBuilder().addField(TOTAL_BYTES_FIELD, total).build())
+            .setTotalBytes(totalBytes)
             .build();
     return Frame.newBuilder().setData(data).build();
   }
@@ -163,8 +153,7 @@
    * {@return the number of bytes of the body that a last message states, or empty if it does not}
    */
   static OptionalLong totalBytes(Data data) {
-    List<Long> values = data.getUnknownFields().getField(TOTAL_BYTES_FIELD).getVarintList();
-    return values.isEmpty() ? OptionalLong.empty() : OptionalLong.of(values.getLast());
+    return data.hasTotalBytes() ? OptionalLong.of(data.getTotalBytes()) : OptionalLong.empty();
   }
 
   static Frame credit(long stream, int bytes) {
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/ReceivedBodyTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/node/ReceivedBodyTests.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import com.google.protobuf.UnknownFieldSet;
 import java.io.IOException;
 import org.amaranthmoor.daemon.exchange.BodyPipe;
 import org.amaranthmoor.daemon.exchange.Deadline;
@@ -54,7 +53,7 @@
   @Test
   void aBodyOfAnEarlierBuildIsWhole() throws IOException {
     Data last = Frames.lastData(1, PIECE, 0).getData();
-    Data earlier = last.toBuilder().setUnknownFields(UnknownFieldSet.getDefaultInstance()).build();
+    Data earlier = last.toBuilder().clearTotalBytes().build();
     receive(Frame.newBuilder().setData(earlier).build());
 
     assertArrayEquals(PIECE, pipe.readAllBytes());
