--- a/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/NodeCommand.java
+++ b/amaranthmoor-cli/src/main/java/org/amaranthmoor/cli/NodeCommand.java
@@ -56,7 +56,7 @@
     return ExitCode.OK;
   }
 
-  // Whatever fails during the stop, the process ends.
+  // The process ends even if the stop fails.
   private static void stop(NodeDaemon daemon) {
     boolean finished = false;
     try {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/ProcessSupervisor.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/ProcessSupervisor.java
@@ -114,7 +114,7 @@
         endIfFailed(failure);
         endWithoutProgress(Thread::startVirtualThread);
       } catch (RuntimeException | Error e) {
-        // The supervision goes on whatever fails.
+        // A failed check must not end the supervision.
         checksWithoutProgress++;
       }
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/ThreadEnd.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/ThreadEnd.java
@@ -2,7 +2,7 @@
 
 /** What follows from the end of a thread by a failure that nothing has handled. */
 enum ThreadEnd {
-  /** The thread did one piece of work, or is replaced: the node goes on. */
+  /** The thread ran a single task, or is replaced; the node continues to serve. */
   ONE_TASK_FAILED,
 
   /** The node cannot serve without the thread, so its process ends. */
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/caller/LocalExchange.java
@@ -64,7 +64,7 @@
     }
   }
 
-  // A response that nobody reads would hold its slot.
+  // An unread response would hold its slot.
   private void closeResponse() {
     if (outcome.getNow(FAILED) instanceof Outcome.Answered<CallResponse> answered
         && responseClosed.compareAndSet(false, true)) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallResponse.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/exchange/CallResponse.java
@@ -23,13 +23,13 @@
   /** Largest body that is buffered until it is complete, in bytes; a larger one is streamed. */
   public static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
-  /** Gives up a streamed body that nobody reads, which releases what it holds. */
+  /** Abandons an unread streamed body, which releases what it holds. */
   public void close() {
     if (body instanceof Body.Streamed streamed) {
       try {
         streamed.stream().close();
       } catch (IOException e) {
-        // Nobody reads the rest.
+        // The rest is not read.
       }
     }
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -97,7 +97,7 @@
         super.createContentOutputStream(length, buffer, out, trailers), length, this, socket);
   }
 
-  /** Closes the connection, and resets it within a response body, whatever the mode. */
+  /** Closes the connection; within a response body, resets it in any mode. */
   @Override
   public void close(CloseMode mode) {
     try {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ErrorTolerantIoHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ErrorTolerantIoHandler.java
@@ -8,7 +8,7 @@
 import org.amaranthmoor.daemon.log.FailureLoggingRunner;
 
 /**
- * Input and output of an event loop that goes on after an {@link Error}.
+ * Input and output of an event loop that continues after an {@link Error}.
  *
  * <p>Netty's own handler goes on after an exception, but throws an error, which ends the event loop
  * with all links of the node. What was ready when the error occurred is still ready in the next
