--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ErrorTolerantIoHandler.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/ErrorTolerantIoHandler.java
@@ -10,9 +10,9 @@
 /**
  * Input and output of an event loop that continues after an {@link Error}.
  *
- * <p>Netty's own handler goes on after an exception, but throws an error, which ends the event loop
- * with all links of the node. What was ready when the error occurred is still ready in the next
- * run. Used by the thread of the event loop, except for waking it up.
+ * <p>Netty's own handler continues after an exception, but throws an error, which ends the event
+ * loop with all links of the node. What was ready when the error occurred is still ready in the
+ * next run. Used by the thread of the event loop, except for waking it up.
  */
 final class ErrorTolerantIoHandler implements IoHandler {
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/EventLoops.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/EventLoops.java
@@ -12,7 +12,7 @@
   private EventLoops() {}
 
   /**
-   * Creates a group of one event loop, which goes on after an {@link Error}.
+   * Creates a group of one event loop, which continues after an {@link Error}.
    *
    * @param failures logs the errors
    * @return the group
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/PeerLink.java
@@ -350,7 +350,7 @@
         settles = true;
       }
     } catch (Error | RuntimeException e) {
-      // Handled below, as whatever is allocated here might fail again.
+      // Handled below, as an allocation here might fail again.
     }
     if (!settles) {
       stream.onLinkLost(LINK_LOST);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetProbe.java
@@ -98,7 +98,7 @@
     }
   }
 
-  // Whatever fails, the admission must not wait for this probe any longer.
+  // After any failure, the admission must not wait for this probe any longer.
   private void probeOnce() {
     boolean speedKnown = false;
     try {
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/caller/EntrySideErrorTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/caller/EntrySideErrorTests.java
@@ -265,7 +265,7 @@
     assertServes(3);
   }
 
-  // Nobody reads a response whose call has been given up, so it would hold its slot.
+  // The response of an abandoned call is not read, so it would hold its slot.
   @Test
   void aStreamedResponseOfACancelledExchangeKeepsNothing() throws Exception {
     Exchange exchange = LocalExchange.start(targetSide, request("/long", true), threads, time);
