--- a/review/harness-2/Standins.java
+++ b/review/harness-2/Standins.java
@@ -162,6 +162,7 @@
     private final ServerSocket socket;
     private final Map<String, List<Stored>> topics = new HashMap<>();
     private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private volatile boolean silent;
 
     Store() throws IOException {
       socket = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
@@ -172,6 +173,15 @@
       return "127.0.0.1:" + socket.getLocalPort();
     }
 
+    /**
+     * Sets whether the store is silent. A call that arrives meanwhile, or whose answer is due
+     * meanwhile, gets no answer, and its connection returns nothing further; one that waits for a
+     * record after the end is answered.
+     */
+    void setSilent(boolean changed) {
+      silent = changed;
+    }
+
     synchronized void put(String topic, String key, String value) {
       topics
           .computeIfAbsent(topic, name -> new ArrayList<>())
@@ -200,7 +210,13 @@
             return;
           }
           readBody(request, in, false);
-          byte[] body = respond(request);
+          boolean lost = silent;
+          byte[] body = lost ? null : respond(request);
+          if (lost || silent) {
+            // The connection stays open until the node closes it.
+            while (in.read() >= 0) {}
+            return;
+          }
           String head =
               body == null
                   ? "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
