End the nodes of a script that is interrupted

Cause: a script that was ended by a signal left its nodes. Done: the stand-in of a machine ends its process when the program ends.

--- a/review/harness-2/Standins.java
+++ b/review/harness-2/Standins.java
@@ -598,6 +598,8 @@
               .start();
       record.line("machine " + name + " starts pid=" + process.pid());
       if (starts == 1) {
+        // Also if the script is interrupted.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> process.destroyForcibly()));
         Thread.ofPlatform().daemon().start(this::reportAll);
       }
     }
