Log each version of the configuration that is announced, taken or not taken

Cause: a node logged a version only once it was in force. Change: config-announced names the version, the one in force and the peer; config-in-force adds the version that it replaces and the time since its announcement; config-not-taken gives the reason.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -158,6 +158,7 @@
   private final MemoryPressure memoryPressure = new MemoryPressure();
   private final NodeMetrics metrics = new NodeMetrics();
   private final ConfigHolder configHolder = new ConfigHolder();
+  private final ConfigLog configLog;
   private final ConfigReadPolicy readPolicy;
   private final SourceEpochTracker epochTracker;
   private final EvacuatedZones evacuatedZones = new EvacuatedZones();
@@ -235,6 +236,7 @@
     this.retryBurst = retryBurstFor(1);
     this.time = time;
     this.log = log;
+    this.configLog = new ConfigLog(time, log);
     this.tasks = new FailureLoggingRunner(log, this::onError);
     this.group = EventLoops.create(tasks);
     this.identity = new NodeIdentity(settings.node(), new Incarnation(time.wallMillis() * 1_000));
@@ -702,22 +704,15 @@
 
   // Returns whether the configuration is newer than the one that was in force.
   private boolean putInForce(RoutingConfig config, String source) {
+    long before = configHolder.version();
     boolean isNew = configHolder.advance(config);
     if (isNew) {
       viewsOutdated = true;
       membership.setConfigOffset(config.version());
       rebuildViews();
-      log.info(
-          "config-in-force",
-          () ->
-              "version="
-                  + config.version()
-                  + " source="
-                  + source
-                  + " rules="
-                  + config.routes().size()
-                  + " services="
-                  + config.services().size());
+      configLog.onInForce(config, before, source);
+    } else {
+      configLog.onNotNewer(config.version(), configHolder.version(), source);
     }
     return isNew;
   }
@@ -815,6 +810,7 @@
       readPolicy.onReaderHeartbeat(time.nanos());
     }
     if (state.offset() > configHolder.version()) {
+      configLog.onAnnounced(state.offset(), configHolder.version(), state.node());
       executor.execute(
           () -> tasks.run(() -> peerConfigReader.fetchIfStillNewer(state.node(), state.offset())));
     }
