Bound the wait of a read of the configuration, and let the readers take turns

Cause: a read waited at the store for up to 22 s, and nothing but the end of the wait reveals that its response was lost. All readers read in step, since a change ends all reads together, so one silence lost the reads of all of them. A reader stated to its zone all the while that the store answers, by which others neither read nor tried again soon. Ruled out: the refusal of a version (config-not-taken shows none), and the way of a version between nodes. Change: ReadWaitPolicy lets the designated readers of all zones end their reads in turn, one each time a third of the bound of the settings (config-millis) has passed, and has a read after a failure answered at once. LostReadDetector gives a read up whose records another node has had for half a second. A heartbeat states the age of the last answer (source_answer_age_millis; nodes of earlier builds neither send nor read it), and only an answer since the failure of a node's own read lets it try again late.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/ConfigReadPolicy.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/ConfigReadPolicy.java
@@ -12,13 +12,14 @@
  * versions in a row, or would each retry while the source is unavailable. In each availability zone
  * a few designated readers read the source. All members choose the same readers by rendezvous
  * hashing, without communication. Each reader sends its zone a heartbeat every {@link
- * #HEARTBEAT_INTERVAL_NANOS} while the source answers it, and at once for a new version.
+ * #HEARTBEAT_INTERVAL_NANOS} while the source answers it, and at once for a new version. A
+ * heartbeat states when the source answered last, as a read that waits may never be answered.
  *
  * <p>Invariants: a designated reader reads the source. Any other node reads it too while it has not
  * received a heartbeat yet, if its last heartbeat is older than {@link #HEARTBEAT_TIMEOUT_NANOS}
  * (whatever its view of the members says), or after a peer failed to deliver a version that it had
- * announced. After a failed read a node retries soon, unless a reader has sent a heartbeat since
- * the failure; so no node waits for the others when the source resets all connections at once.
+ * announced. After a failed read a node retries soon, unless the source has answered a reader since
+ * the failure; so no node waits for the others when the source fails all of them at once.
  *
  * <p>Safe for use by several threads.
  */
@@ -62,6 +63,8 @@
   private boolean designatedReader = true;
   private boolean heartbeatReceived;
   private long lastHeartbeatNanos;
+  private boolean answerKnown;
+  private long lastAnswerNanos;
   private int consecutiveFailures;
   private long lastFailureNanos;
   private double jitterScale;
@@ -83,10 +86,17 @@
    * @param zone the nodes that are believed to be reachable, this one included
    */
   public synchronized void onZoneMembers(List<NodeName> zone) {
-    designatedReader =
-        RendezvousHash.rank(CONFIG_KEY_HASH, zone).stream()
-            .limit(READERS_PER_ZONE)
-            .anyMatch(self::equals);
+    designatedReader = designatedReaders(zone).contains(self);
+  }
+
+  /** Returns the designated readers of an availability zone, given its reachable nodes. */
+  static List<NodeName> designatedReaders(List<NodeName> zone) {
+    return byRank(zone).stream().limit(READERS_PER_ZONE).toList();
+  }
+
+  /** Returns nodes in an order that all members agree on. */
+  static List<NodeName> byRank(List<NodeName> nodes) {
+    return RendezvousHash.rank(CONFIG_KEY_HASH, nodes);
   }
 
   /**
@@ -99,6 +109,18 @@
     lastHeartbeatNanos = nowNanos;
   }
 
+  /**
+   * Records that the source answered a reader of the zone.
+   *
+   * @param answerNanos when it did
+   */
+  public synchronized void onReaderAnswered(long answerNanos) {
+    if (!answerKnown || answerNanos - lastAnswerNanos > 0) {
+      answerKnown = true;
+      lastAnswerNanos = answerNanos;
+    }
+  }
+
   /** Records that a peer failed to deliver a version that it had announced. */
   public synchronized void onPeerFetchFailure() {
     heartbeatReceived = false;
@@ -124,11 +146,11 @@
   }
 
   private long backoffNanos(long nowNanos) {
-    boolean readerSeenSinceFailure =
-        hasLiveReader(nowNanos) && lastHeartbeatNanos - lastFailureNanos > 0;
+    boolean answeredSinceFailure =
+        hasLiveReader(nowNanos) && answerKnown && lastAnswerNanos - lastFailureNanos > 0;
     int doublings = Math.min(consecutiveFailures - 1, MAX_BACKOFF_DOUBLINGS);
     long millis =
-        readerSeenSinceFailure
+        answeredSinceFailure
             ? RELAXED_BACKOFF_MILLIS
             : Math.min(MAX_BACKOFF_MILLIS, INITIAL_BACKOFF_MILLIS << doublings);
     return (long) (millis * NANOS_PER_MILLI * (1 + MAX_JITTER_FRACTION * jitterScale));
--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -1,5 +1,6 @@
 package org.amaranthmoor.node;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -389,14 +390,16 @@
    * Creates messages that announce the configuration offset of this node to all reachable members
    * of its availability zone.
    *
-   * @param readsSource whether this node reads the configuration from its source, which answers it
+   * @param answerAge time since the source of the configuration answered this node, or empty if
+   *     this node does not read it
    * @return messages to send
    */
-  public synchronized List<Outgoing> configAnnouncements(boolean readsSource) {
-    Gossip announcement = message(Gossip.Kind.ACK).setReadsSource(readsSource).build();
+  public synchronized List<Outgoing> configAnnouncements(Optional<Duration> answerAge) {
+    Gossip.Builder announcement = message(Gossip.Kind.ACK).setReadsSource(answerAge.isPresent());
+    answerAge.ifPresent(age -> announcement.setSourceAnswerAgeMillis(age.toMillis()));
     return sameZoneFirst().stream()
         .filter(this::isInSameZone)
-        .map(member -> messageTo(member, announcement))
+        .map(member -> messageTo(member, announcement.build()))
         .toList();
   }
 
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/ConfigReadPolicyTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/ConfigReadPolicyTests.java
@@ -161,10 +161,22 @@
           at <= 2 * NANOS_PER_SECOND;
           at += ConfigReadPolicy.HEARTBEAT_INTERVAL_NANOS) {
         policy.onReaderHeartbeat(at);
+        policy.onReaderAnswered(at);
         assertFalse(policy.shouldRead(false, at));
       }
     }
 
+    /** A reader whose response was lost sends heartbeats, but it states an earlier answer. */
+    @Test
+    void aReaderRetriesSoonIfTheSourceHasAnsweredNoOtherReaderSince() {
+      ConfigReadPolicy policy = new ConfigReadPolicy(node(1));
+      policy.onReadFailure(1, 100 * NANOS_PER_MILLI);
+      policy.onReaderHeartbeat(200 * NANOS_PER_MILLI);
+      policy.onReaderAnswered(50 * NANOS_PER_MILLI);
+
+      assertTrue(nextRead(policy, false, 200 * NANOS_PER_MILLI) <= 600 * NANOS_PER_MILLI);
+    }
+
     /**
      * The source resets all connections at once, just after each reader has received a heartbeat of
      * the others. A backoff that relies on such heartbeats would delay every reader.
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -283,12 +284,23 @@
 
     @Test
     void configAnnouncementsStayInTheOwnZone() {
-      List<Membership.Outgoing> messages = withMembers(18, 76).configAnnouncements(true);
+      List<Membership.Outgoing> messages =
+          withMembers(18, 76).configAnnouncements(Optional.of(Duration.ZERO));
 
       assertEquals(18, messages.size());
       assertEquals(18, countInSameZone(messages, 18));
       assertTrue(messages.stream().allMatch(message -> message.message().getReadsSource()));
     }
+
+    @Test
+    void allMembersAgreeOnTheOrderOfTheReaders() {
+      Membership membership = withMembers(4, 8);
+      ConfigReaders here = ConfigReaders.among(membership.self().zone(), membership.members());
+      ConfigReaders there =
+          ConfigReaders.among(new ZoneName("elsewhere"), membership.members().reversed());
+
+      assertEquals(here.inOrder(), there.inOrder());
+    }
   }
 
   @Nested
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ControlClient.java
@@ -158,7 +158,19 @@
    * @throws IOException if no complete response was received
    */
   public Reply get(String path) throws IOException {
-    return execute(ClassicRequestBuilder.get(path).build());
+    return get(path, timeoutMillis);
+  }
+
+  /**
+   * Sends a GET request with a timeout of its own.
+   *
+   * @param path the path with its query
+   * @param timeoutMillis maximum time to wait for data of the response, in milliseconds
+   * @return the response
+   * @throws IOException if no complete response was received
+   */
+  public Reply get(String path, int timeoutMillis) throws IOException {
+    return execute(ClassicRequestBuilder.get(path).build(), timeoutMillis);
   }
 
   /**
@@ -172,10 +184,10 @@
    */
   public Reply post(String path, byte[] body) throws IOException {
     ByteArrayEntity entity = new ByteArrayEntity(body, ContentType.APPLICATION_OCTET_STREAM);
-    return execute(ClassicRequestBuilder.post(path).setEntity(entity).build());
+    return execute(ClassicRequestBuilder.post(path).setEntity(entity).build(), timeoutMillis);
   }
 
-  private Reply execute(ClassicHttpRequest request) throws IOException {
+  private Reply execute(ClassicHttpRequest request, int timeoutMillis) throws IOException {
     request.setHeader("Host", endpoint.toString());
     ClientConnection connection = new ClientConnection(CONFIG);
     try (Socket socket = connect()) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFeed.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFeed.java
@@ -1,5 +1,6 @@
 package org.amaranthmoor.daemon.mesh;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -71,9 +72,11 @@
    * epoch is invalid.
    *
    * @param position the position that the last read returned, or {@link #START}
+   * @param maxWait longest time that the source holds the read until there is a record; zero for a
+   *     read that is answered at once
    * @return the result
    */
-  ReadResult readAfter(Position position);
+  ReadResult readAfter(Position position, Duration maxWait);
 
   /**
    * Decodes a document.
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/ConfigFollower.java
@@ -1,5 +1,7 @@
 package org.amaranthmoor.daemon.mesh;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -8,6 +10,8 @@
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.ConfigReadPolicy;
+import org.amaranthmoor.node.LostReadDetector;
+import org.amaranthmoor.node.ReadWaitPolicy;
 import org.amaranthmoor.yaml.ParseResult;
 
 /**
@@ -15,7 +19,8 @@
  * policy requires this node to read.
  *
  * <p>Invariant: no failure ends the thread, and what was read counts as read only once it is in
- * force, so that a failure in between has it read again. Safe for use by several threads.
+ * force, so that a failure in between has it read again. No read waits for longer than the wait
+ * policy allows, and one whose response was lost is given up. Safe for use by several threads.
  */
 final class ConfigFollower implements AutoCloseable {
 
@@ -34,12 +39,15 @@
   private final Consumer<RoutingConfig> onConfig;
   private final BiConsumer<ConfigFeed.ZoneUpdate, ConfigFeed.Position> onZoneUpdate;
   private final ConfigReadPolicy readPolicy;
+  private final ReadWaitPolicy waitPolicy;
+  private final LostReadDetector lostReads = new LostReadDetector();
   private final TimeSource time;
   private final EventLog log;
   private final FailureLoggingRunner tasks;
   private final Runnable step = this::step;
   private final Thread thread;
   private volatile boolean available;
+  private volatile long lastAnswerNanos;
   private volatile boolean closed;
   private boolean loggedShouldRead = true;
   private volatile boolean readInProgress;
@@ -53,6 +61,7 @@
    * @param onConfig receives each configuration
    * @param onZoneUpdate receives what each read states about evacuated zones, and its position
    * @param readPolicy decides whether this node reads
+   * @param waitPolicy decides how long a read waits for a record
    * @param time the clock
    * @param log receives changes and failures
    */
@@ -61,12 +70,14 @@
       Consumer<RoutingConfig> onConfig,
       BiConsumer<ConfigFeed.ZoneUpdate, ConfigFeed.Position> onZoneUpdate,
       ConfigReadPolicy readPolicy,
+      ReadWaitPolicy waitPolicy,
       TimeSource time,
       EventLog log) {
     this.feed = feed;
     this.onConfig = onConfig;
     this.onZoneUpdate = onZoneUpdate;
     this.readPolicy = readPolicy;
+    this.waitPolicy = waitPolicy;
     this.time = time;
     this.log = log;
     this.tasks = new FailureLoggingRunner(log);
@@ -86,8 +97,33 @@
   void abortReadBefore(SourceEpoch epoch) {
     boolean hasPosition = !position.equals(ConfigFeed.START);
     if (readInProgress && hasPosition && position.epoch().compareTo(epoch) < 0) {
-      readAborted = true;
-      thread.interrupt();
+      abortRead();
+    }
+  }
+
+  private void abortRead() {
+    readAborted = true;
+    thread.interrupt();
+  }
+
+  /**
+   * Records the position up to which another node has read the source.
+   *
+   * @param peerPosition the position
+   */
+  void onPeerPosition(ConfigFeed.Position peerPosition) {
+    lostReads.onPeerPosition(peerPosition.epoch(), peerPosition.offset(), time.nanos());
+  }
+
+  /**
+   * Aborts a read that waits although other nodes have read records after its position; its
+   * response was lost. The next read begins at the same position.
+   */
+  void abortLostRead() {
+    if (lostReads.isLost(time.nanos())) {
+      log.warn("config-read-lost", () -> "position=" + position.offset());
+      lostReads.onReadEnded();
+      abortRead();
     }
   }
 
@@ -96,6 +132,13 @@
     return available;
   }
 
+  /** {@return the time since the source last answered, if the last read succeeded} */
+  Optional<Duration> answerAge() {
+    return available
+        ? Optional.of(Duration.ofNanos(Math.max(0, time.nanos() - lastAnswerNanos)))
+        : Optional.empty();
+  }
+
   private void run() {
     while (!closed) {
       tasks.run("config-follower-failed", step);
@@ -112,12 +155,18 @@
     } catch (InterruptedException e) {
       logInterrupted();
     } catch (RuntimeException | Error e) {
-      readPolicy.onReadFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
+      onReadFailure();
       throw e;
     }
   }
 
-  // An interrupt aborts a waiting read: either the node stops, or its position has become invalid.
+  private void onReadFailure() {
+    waitPolicy.onFailure();
+    readPolicy.onReadFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
+  }
+
+  // An interrupt aborts a waiting read: the node stops, its position has become invalid, or its
+  // response was lost.
   private void logInterrupted() {
     log.info(
         "config-follower-interrupted", () -> "closed=" + closed + " position-void=" + readAborted);
@@ -138,9 +187,11 @@
     ConfigFeed.ReadResult result;
     boolean aborted;
     readInProgress = true;
+    lostReads.onReadStarted(position.epoch(), position.offset(), time.nanos());
     try {
-      result = feed.readAfter(position);
+      result = feed.readAfter(position, waitPolicy.nextWait());
     } finally {
+      lostReads.onReadEnded();
       readInProgress = false;
       aborted = readAborted;
       if (aborted) {
@@ -150,6 +201,7 @@
       }
     }
     if (aborted) {
+      waitPolicy.onFailure();
       return;
     }
     switch (result) {
@@ -158,7 +210,7 @@
         // Before the configuration, so that the first one in force never routes to evacuated zones.
         onZoneUpdate.accept(records.zones(), records.position());
         records.document().ifPresent(this::decodeAndPublish);
-        position = records.position();
+        recordProgress(records.position());
         if (records.document().isPresent()) {
           Thread.sleep(PAUSE_AFTER_CHANGE_MILLIS);
         }
@@ -169,12 +221,22 @@
       }
       case ConfigFeed.ReadResult.Unavailable unavailable -> {
         setAvailable(false, unavailable.detail());
-        readPolicy.onReadFailure(ThreadLocalRandom.current().nextDouble(), time.nanos());
+        onReadFailure();
       }
     }
   }
 
+  private void recordProgress(ConfigFeed.Position next) {
+    if (next.equals(position)) {
+      waitPolicy.onNoRecords();
+    } else {
+      waitPolicy.onRecords();
+    }
+    position = next;
+  }
+
   private void onAnswered() {
+    lastAnswerNanos = time.nanos();
     setAvailable(true, "");
     readPolicy.onReadSuccess();
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
@@ -64,12 +65,14 @@
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.ConfigReadPolicy;
+import org.amaranthmoor.node.ConfigReaders;
 import org.amaranthmoor.node.EvacuatedZones;
 import org.amaranthmoor.node.GossipTimings;
 import org.amaranthmoor.node.Member;
 import org.amaranthmoor.node.MemberChanges;
 import org.amaranthmoor.node.Membership;
 import org.amaranthmoor.node.MemoryPressure;
+import org.amaranthmoor.node.ReadWaitPolicy;
 import org.amaranthmoor.node.SourceEpochTracker;
 import org.amaranthmoor.protocol.node.Frame;
 import org.amaranthmoor.protocol.node.QuotaReply;
@@ -160,6 +163,7 @@
   private final ConfigHolder configHolder = new ConfigHolder();
   private final ConfigLog configLog;
   private final ConfigReadPolicy readPolicy;
+  private final ReadWaitPolicy readWaitPolicy;
   private final SourceEpochTracker epochTracker;
   private final EvacuatedZones evacuatedZones = new EvacuatedZones();
   private final Membership membership;
@@ -246,6 +250,7 @@
     this.suspicions = new SuspicionExchange(crashLedger, membership, time, log);
     this.leaves = new LeaveExchange(membership, this::onEarlierLeaves);
     this.readPolicy = new ConfigReadPolicy(settings.node());
+    this.readWaitPolicy = new ReadWaitPolicy(settings.node(), settings.configBound());
     this.epochTracker = epochTracker;
     this.lifecycle = new TargetLifecycle(settings.firstStart());
     TargetHealth health = new TargetHealth();
@@ -343,7 +348,8 @@
             time,
             log);
     this.follower =
-        new ConfigFollower(feed, this::onFeedConfig, this::onZoneUpdate, readPolicy, time, log);
+        new ConfigFollower(
+            feed, this::onFeedConfig, this::onZoneUpdate, readPolicy, readWaitPolicy, time, log);
     this.peerConfigReader =
         new PeerConfigReader(
             settings.zone(),
@@ -692,16 +698,21 @@
   private void onPeerConfig(RoutingConfig config, Member peer) {
     boolean inOwnZone = peer.zone().equals(settings.zone());
     if (putInForce(config, peer.node().value()) && !inOwnZone) {
-      gossip.send(membership.configAnnouncements(false));
+      announceToOwnZone();
     }
   }
 
   private void sendHeartbeatIfDue(boolean isNew) {
-    if (readPolicy.claimHeartbeat(follower.available(), isNew, time.nanos())) {
-      gossip.send(membership.configAnnouncements(true));
+    Optional<Duration> answerAge = follower.answerAge();
+    if (readPolicy.claimHeartbeat(answerAge.isPresent(), isNew, time.nanos())) {
+      gossip.send(membership.configAnnouncements(answerAge));
     }
   }
 
+  private void announceToOwnZone() {
+    gossip.send(membership.configAnnouncements(Optional.empty()));
+  }
+
   // Returns whether the configuration is newer than the one that was in force.
   private boolean putInForce(RoutingConfig config, String source) {
     long before = configHolder.version();
@@ -778,7 +789,7 @@
     if (changed) {
       applyEvacuatedZones(peer.node());
       if (!isInOwnZone(peer.node())) {
-        gossip.send(membership.configAnnouncements(false));
+        announceToOwnZone();
       }
     }
   }
@@ -808,7 +819,12 @@
     boolean newest = state.epoch().equals(epochTracker.newest());
     if (state.readsSource() && newest && isInOwnZone(state.node())) {
       readPolicy.onReaderHeartbeat(time.nanos());
+      state
+          .sourceAnswerAge()
+          .ifPresent(age -> readPolicy.onReaderAnswered(time.nanos() - age.toNanos()));
     }
+    follower.onPeerPosition(
+        new ConfigFeed.Position(state.evacuatedZones().epoch(), state.evacuatedZones().offset()));
     if (state.offset() > configHolder.version()) {
       configLog.onAnnounced(state.offset(), configHolder.version(), state.node());
       executor.execute(
@@ -841,7 +857,7 @@
                   + TimeUnit.NANOSECONDS.toMillis(delayNanos));
       follower.abortReadBefore(newest);
       directory.rewriteAfter(delayNanos);
-      gossip.send(membership.configAnnouncements(false));
+      announceToOwnZone();
     }
     // Last, so that the next tick repeats what has failed.
     handledEpoch = newest;
@@ -874,6 +890,7 @@
     tasks.run(gossip::tick);
     tasks.run(suspicions::refresh);
     tasks.run(this::handleEpochChange);
+    tasks.run(follower::abortLostRead);
     tasks.run(() -> sendHeartbeatIfDue(false));
     tasks.run(registry::refresh);
     tasks.run(this::renewIncarnationIfSuperseded);
@@ -931,6 +948,7 @@
               .filter(member -> member.reachable() && member.zone().equals(settings.zone()))
               .map(Member::node)
               .toList());
+      readWaitPolicy.onReaders(ConfigReaders.among(settings.zone(), members));
       logChanges(members);
       rebuildViews();
       links.closeStale(membership);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshSettings.java
@@ -26,6 +26,7 @@
  * @param retrySlack number of retries that all nodes together may send in excess of that share
  * @param quotaBound how far the requests of a team may exceed its quota
  * @param hedgeShare largest number of copies of slow requests, as a share of requests; 0 for none
+ * @param configBound time within which a change of the configuration must be in force at every node
  */
 public record MeshSettings(
     NodeName node,
@@ -40,7 +41,8 @@
     double retryShare,
     double retrySlack,
     QuotaBound quotaBound,
-    double hedgeShare) {
+    double hedgeShare,
+    Duration configBound) {
 
   /** Copies the peers. */
   public MeshSettings {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/node/GossipSocket.java
@@ -12,8 +12,10 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.amaranthmoor.daemon.metrics.NodeMetrics;
@@ -37,6 +39,9 @@
  */
 public final class GossipSocket implements AutoCloseable {
 
+  /** Longest time since an answer of the source that a message can state. */
+  private static final Duration MAX_ANSWER_AGE = Duration.ofDays(1);
+
   /**
    * The state of a node's configuration, as its gossip messages announce it.
    *
@@ -44,6 +49,7 @@
    * @param offset the offset of its configuration
    * @param readsSource whether it reads the configuration from its source and the last read
    *     succeeded
+   * @param sourceAnswerAge time since the source last answered it, or empty if it does not state it
    * @param epoch the newest epoch of the source that it knows
    * @param evacuatedZones the newest evacuated zones that it has read
    */
@@ -51,6 +57,7 @@
       String node,
       long offset,
       boolean readsSource,
+      Optional<Duration> sourceAnswerAge,
       SourceEpoch epoch,
       EvacuatedZones.State evacuatedZones) {}
 
@@ -199,10 +206,19 @@
           gossip.getSender(),
           gossip.getConfigOffset(),
           gossip.getReadsSource(),
+          sourceAnswerAge(gossip),
           new SourceEpoch(Math.max(0, gossip.getSourceEpoch())),
           evacuatedZones(gossip));
     }
 
+    private static Optional<Duration> sourceAnswerAge(Gossip gossip) {
+      return Optional.of(gossip)
+          .filter(message -> message.getReadsSource() && message.hasSourceAnswerAgeMillis())
+          .map(Gossip::getSourceAnswerAgeMillis)
+          .filter(millis -> millis >= 0 && millis <= MAX_ANSWER_AGE.toMillis())
+          .map(Duration::ofMillis);
+    }
+
     private static EvacuatedZones.State evacuatedZones(Gossip gossip) {
       if (!gossip.hasEvacuatedZones()) {
         return EvacuatedZones.State.UNREAD;
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/ConfigFollowerTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/ConfigFollowerTests.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,15 +19,19 @@
 import org.amaranthmoor.model.SourceEpoch;
 import org.amaranthmoor.model.TimeSource;
 import org.amaranthmoor.node.ConfigReadPolicy;
+import org.amaranthmoor.node.ReadWaitPolicy;
 import org.amaranthmoor.yaml.ParseResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 // A full heap ended the reading of the configuration for good, or lost a version that was read.
 class ConfigFollowerTests {
 
+  private static final NodeName NODE = new NodeName("n1");
   private static final SourceEpoch EPOCH = new SourceEpoch(1);
   private static final long TIMEOUT_SECONDS = 10;
+  private static final long POLL_MILLIS = 20;
 
   private final CountDownLatch inForce = new CountDownLatch(1);
   private final AtomicBoolean failed = new AtomicBoolean();
@@ -35,7 +40,7 @@
   /** A source with one version; a read after it waits until it is interrupted. */
   private static class OneVersionFeed implements ConfigFeed {
     @Override
-    public ReadResult readAfter(Position position) {
+    public ReadResult readAfter(Position position, Duration maxWait) {
       if (position.equals(START)) {
         return new ReadResult.Records(
             Optional.of(new byte[0]), new ZoneUpdate.Changes(Map.of()), new Position(EPOCH, 1));
@@ -69,7 +74,8 @@
             feed,
             onConfig,
             (zones, position) -> {},
-            new ConfigReadPolicy(new NodeName("n1")),
+            new ConfigReadPolicy(NODE),
+            new ReadWaitPolicy(NODE, Duration.ofSeconds(2)),
             time,
             new EventLog(System.getLogger("test"), time));
     started = Optional.of(follower);
@@ -93,9 +99,9 @@
     ConfigFeed feed =
         new OneVersionFeed() {
           @Override
-          public ReadResult readAfter(Position position) {
+          public ReadResult readAfter(Position position, Duration maxWait) {
             failOnce();
-            return super.readAfter(position);
+            return super.readAfter(position, maxWait);
           }
         };
 
@@ -132,6 +138,38 @@
     assertTrue(inForce.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
   }
 
+  // A read whose response was lost was waited for although other nodes had its records.
+  @Test
+  @Timeout(TIMEOUT_SECONDS)
+  void aReadWhoseResponseWasLostIsGivenUpAndReadAgain() throws InterruptedException {
+    CountDownLatch waiting = new CountDownLatch(1);
+    CountDownLatch second = new CountDownLatch(2);
+    ConfigFeed feed =
+        new OneVersionFeed() {
+          @Override
+          public ReadResult readAfter(Position position, Duration maxWait) {
+            if (position.equals(START)) {
+              return super.readAfter(position, maxWait);
+            }
+            if (waiting.getCount() > 0) {
+              waiting.countDown();
+              return super.readAfter(position, maxWait);
+            }
+            return new ReadResult.Records(
+                Optional.of(new byte[0]),
+                new ZoneUpdate.Changes(Map.of()),
+                new Position(EPOCH, position.offset() + 1));
+          }
+        };
+    ConfigFollower follower = start(feed, config -> second.countDown());
+    assertTrue(waiting.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+    follower.onPeerPosition(new ConfigFeed.Position(EPOCH, 2));
+    while (second.getCount() > 0 && !second.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+      follower.abortLostRead();
+    }
+  }
+
   // After a failed read the follower was interrupted as if that read still waited, and the result
   // of
   // the next read was discarded.
@@ -143,9 +181,9 @@
     ConfigFeed feed =
         new OneVersionFeed() {
           @Override
-          public ReadResult readAfter(Position position) {
+          public ReadResult readAfter(Position position, Duration maxWait) {
             if (position.equals(START)) {
-              return super.readAfter(position);
+              return super.readAfter(position, maxWait);
             }
             if (readFailed.getCount() > 0) {
               readFailed.countDown();
--- a/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/InstanceDirectoryTests.java
+++ b/amaranthmoor-daemon/src/test/java/org/amaranthmoor/daemon/mesh/InstanceDirectoryTests.java
@@ -91,7 +91,8 @@
             0,
             0,
             QuotaBound.NONE,
-            0);
+            0,
+            Duration.ofSeconds(2));
     TimeSource time = TimeSource.system();
     return new InstanceDirectory(
         settings,
