Announce a change of the configuration to the readers of the other zones

Cause: if the readers of a zone have lost their reads, a version reaches the zone only by pings, of which a node sends one in four seconds to another zone. Change: a reader that reads a change announces it to the designated readers of the other zones. Result: MembershipTests.configAnnouncementsReachTheReadersOfOtherZones does not compile without it.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/node/Membership.java
@@ -403,6 +403,21 @@
         .toList();
   }
 
+  /**
+   * Creates messages that announce the configuration offset of this node to some members.
+   *
+   * @param receivers the members; those that are not reachable are left out
+   * @return messages to send
+   */
+  public synchronized List<Outgoing> configAnnouncementsTo(List<NodeName> receivers) {
+    Gossip announcement = message(Gossip.Kind.ACK).build();
+    return receivers.stream()
+        .map(members::get)
+        .filter(entry -> entry != null && entry.member.reachable())
+        .map(entry -> messageTo(entry.member, announcement))
+        .toList();
+  }
+
   /**
    * Creates messages that carry suspicions against requests to all reachable members.
    *
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/node/MembershipTests.java
@@ -292,6 +292,18 @@
       assertTrue(messages.stream().allMatch(message -> message.message().getReadsSource()));
     }
 
+    /** A zone whose own reads were lost had a version only by chance pings, seconds later. */
+    @Test
+    void configAnnouncementsReachTheReadersOfOtherZones() {
+      Membership membership = withMembers(4, 8);
+      ConfigReaders readers = ConfigReaders.among(membership.self().zone(), membership.members());
+
+      List<Membership.Outgoing> messages = membership.configAnnouncementsTo(readers.inOtherZones());
+
+      assertEquals(ConfigReadPolicy.READERS_PER_ZONE, messages.size());
+      assertEquals(0, countInSameZone(messages, 4));
+    }
+
     @Test
     void allMembersAgreeOnTheOrderOfTheReaders() {
       Membership membership = withMembers(4, 8);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/mesh/MeshNode.java
@@ -197,6 +197,7 @@
   private final HttpListener callerListener;
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean stopping;
+  private volatile ConfigReaders configReaders = ConfigReaders.NONE;
   // This node's part of the retries that all nodes together may save up beyond the retry share.
   private volatile int retryBurst;
   private long lastViewHash;
@@ -702,10 +703,14 @@
     }
   }
 
+  // The readers of other zones may have lost the response that would have told them of a change.
   private void sendHeartbeatIfDue(boolean isNew) {
     Optional<Duration> answerAge = follower.answerAge();
     if (readPolicy.claimHeartbeat(answerAge.isPresent(), isNew, time.nanos())) {
       gossip.send(membership.configAnnouncements(answerAge));
+      if (isNew) {
+        gossip.send(membership.configAnnouncementsTo(configReaders.inOtherZones()));
+      }
     }
   }
 
@@ -948,7 +953,8 @@
               .filter(member -> member.reachable() && member.zone().equals(settings.zone()))
               .map(Member::node)
               .toList());
-      readWaitPolicy.onReaders(ConfigReaders.among(settings.zone(), members));
+      configReaders = ConfigReaders.among(settings.zone(), members);
+      readWaitPolicy.onReaders(configReaders);
       logChanges(members);
       rebuildViews();
       links.closeStale(membership);
