Reject a response whose head does not state soundly where its body ends

Callers saw: a complete response with a body that was not the target's, or with a line that is no field (MIXED). Cause: HttpCore joins folded lines, accepts lines without a sound name, control characters, a sign before a length and mixed line ends. One such byte hides the field that states the length, and the body lasts until the connection ends; a smaller length or another status leaves bytes of the body on the connection, which were dropped. Change: FieldLineBuffer checks each line of a head, ResponseFraming its length, and the bytes that follow a response must be able to begin another one. Otherwise the response is broken off.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -18,7 +18,7 @@
 
 /**
  * A connection to an HTTP server, on which neither a response that is cut off nor a request whose
- * body fails ever appears complete.
+ * body fails ever appears complete, and a response whose head is malformed is rejected.
  *
  * <p>Used by one thread at a time, except for closing it.
  */
@@ -27,6 +27,9 @@
   private static final Http1Config CONFIG =
       Http1Config.custom().setBufferSize(StreamedEntity.CONNECTION_BUFFER_BYTES).build();
 
+  /** Largest length of a line of a head, in bytes, if the configuration has no bound. */
+  private static final int DEFAULT_MAX_LINE_LENGTH = 8_192;
+
   private final CompleteHeadParser<ClassicHttpResponse> parser;
 
   /** Creates a connection that is not bound to a socket yet. */
@@ -43,7 +46,8 @@
     this(
         config,
         new CompleteHeadParser<>(
-            new DefaultHttpResponseParserFactory(config, new StatusLineParser(), null).create()));
+            new DefaultHttpResponseParserFactory(config, new StatusLineParser(), null).create(),
+            buffer -> new FieldLineBuffer(buffer, maxLineLength(config))));
   }
 
   private ClientConnection(Http1Config head, CompleteHeadParser<ClassicHttpResponse> parser) {
@@ -51,11 +55,34 @@
     this.parser = parser;
   }
 
+  private static int maxLineLength(Http1Config config) {
+    return config.getMaxLineLength() > 0 ? config.getMaxLineLength() : DEFAULT_MAX_LINE_LENGTH;
+  }
+
   /** {@return whether bytes after the last response that was read are buffered} */
   protected boolean hasBufferedBytes() {
     return parser.hasBufferedBytes();
   }
 
+  /**
+   * Checks that the bytes that have arrived after a response can be another response. Others may
+   * belong to the body of the response, if the length that it states is too small.
+   *
+   * @throws IOException if they cannot
+   */
+  public void checkEndOfResponse() throws IOException {
+    if (!parser.precedesStatusLine()) {
+      throw new MalformedResponseException("the response is longer than it states");
+    }
+  }
+
+  @Override
+  public void receiveResponseEntity(ClassicHttpResponse response)
+      throws HttpException, IOException {
+    ResponseFraming.check(response);
+    super.receiveResponseEntity(response);
+  }
+
   @Override
   public void sendRequestEntity(ClassicHttpRequest request) throws HttpException, IOException {
     if (request.getEntity() != null) {
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/CompleteHeadParser.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/CompleteHeadParser.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 import org.apache.hc.core5.http.HttpException;
@@ -18,9 +20,12 @@
  */
 final class CompleteHeadParser<T extends MessageHeaders> implements HttpMessageParser<T> {
 
+  private static final byte[] STATUS_LINE_START = "HTTP/".getBytes(StandardCharsets.US_ASCII);
+
   private final HttpMessageParser<T> parser;
   private final UnaryOperator<SessionInputBuffer> limits;
   private Optional<SessionInputBuffer> connectionBuffer = Optional.empty();
+  private boolean bytesTaken;
 
   CompleteHeadParser(HttpMessageParser<T> parser) {
     this(parser, UnaryOperator.identity());
@@ -43,8 +48,25 @@
     return parser.parse(new CompleteLineBuffer(limits.apply(buffer), true), in);
   }
 
-  /** {@return whether bytes after the last message that was read are buffered} */
+  /** {@return whether bytes after the last message that was read are or were buffered} */
   boolean hasBufferedBytes() {
-    return connectionBuffer.isPresent() && connectionBuffer.get().length() > 0;
+    return bytesTaken || (connectionBuffer.isPresent() && connectionBuffer.get().length() > 0);
+  }
+
+  /**
+   * Takes the buffered bytes after the last message, after which the connection cannot be used any
+   * more if there were any.
+   *
+   * @return whether they can be the begin of a status line; true if there are none
+   */
+  boolean precedesStatusLine() throws IOException {
+    if (!hasBufferedBytes()) {
+      return true;
+    }
+    bytesTaken = true;
+    byte[] following = new byte[STATUS_LINE_START.length];
+    int count =
+        connectionBuffer.get().read(following, 0, following.length, InputStream.nullInputStream());
+    return count > 0 && Arrays.equals(following, 0, count, STATUS_LINE_START, 0, count);
   }
 }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -393,6 +393,7 @@
     boolean keepAlive = keepsAlive(request, response);
     HttpEntity entity = response.getEntity();
     if (entity == null) {
+      connection.checkEndOfResponse();
       finish(keepAlive, Kind.ANSWERED);
       return toAnswered(response, new CallResponse.Body.Buffered(new byte[0]));
     }
@@ -403,6 +404,7 @@
     byte[] first = readPrefix(content, entity.getContentLength());
     if (first.length <= CallResponse.MAX_BUFFERED_BYTES) {
       checkLength(entity.getContentLength(), first.length);
+      connection.checkEndOfResponse();
       finish(keepAlive, Kind.ANSWERED);
       return toAnswered(response, new CallResponse.Body.Buffered(first));
     }
@@ -446,7 +448,7 @@
   private CallResponse.Body toStreamedBody(InputStream content, long length, boolean keepAlive) {
     InputStream body =
         new EndNotifyingBody(
-            content,
+            new CheckedEndBody(content, length),
             length,
             () -> finish(keepAlive, Kind.ANSWERED),
             // Whether the target or the reader of the response was too slow is not known.
@@ -487,6 +489,35 @@
     }
   }
 
+  // Fails before its last bytes are passed on if the end of the response is not sound.
+  private final class CheckedEndBody extends FilterInputStream {
+
+    private final boolean lengthKnown;
+    private long left;
+
+    CheckedEndBody(InputStream body, long statedBytes) {
+      super(body);
+      this.lengthKnown = statedBytes >= 0;
+      this.left = statedBytes;
+    }
+
+    @Override
+    public int read() throws IOException {
+      byte[] one = new byte[1];
+      return read(one, 0, 1) < 0 ? -1 : one[0] & 0xFF;
+    }
+
+    @Override
+    public int read(byte[] buffer, int offset, int length) throws IOException {
+      int count = in.read(buffer, offset, length);
+      left -= Math.max(0, count);
+      if (lengthKnown ? left <= 0 : count < 0) {
+        connection.checkEndOfResponse();
+      }
+      return count;
+    }
+  }
+
   private static List<HeaderField> headers(ClassicHttpResponse response) {
     List<HeaderField> headers = new ArrayList<>();
     for (Header header : response.getHeaders()) {
