Bound the cost of finding a route by the configuration

Cause: HostRoutes cut and hashed one prefix of the path for each slash, the square of its length. Change: only the lengths that the prefixes of a host have are tried.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/HostRoutes.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/caller/HostRoutes.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeSet;
 import java.util.function.DoubleSupplier;
 import org.amaranthmoor.config.ServiceSpec;
 import org.amaranthmoor.model.Priority;
@@ -12,8 +14,9 @@
 /**
  * Routes by host and longest path prefix, with rules that may split requests over services.
  *
- * <p>Finding a route takes one look-up for each segment of the path, whatever the number of rules.
- * Immutable; safe for use by several threads if the source of randomness is.
+ * <p>Finding a route takes at most one look-up for each length that the prefixes of a host have,
+ * whatever the number of rules and of segments of the path. Immutable; safe for use by several
+ * threads if the source of randomness is.
  */
 public final class HostRoutes implements Router {
 
@@ -56,7 +59,29 @@
     }
   }
 
-  private final Map<String, Map<String, Rule>> byHost = new HashMap<>();
+  /** The rules of a host, by prefix. */
+  private static final class HostRules {
+    private final Map<String, Rule> byPrefix = new HashMap<>();
+    private final NavigableSet<Integer> prefixLengths = new TreeSet<>();
+
+    private void add(Rule rule) {
+      byPrefix.put(rule.pathPrefix(), rule);
+      prefixLengths.add(rule.pathPrefix().length());
+    }
+
+    // A caller decides how many segments a path has, but not how many lengths are tried.
+    private Optional<Rule> longestMatch(String path) {
+      for (int length : prefixLengths.headSet(path.length(), true).descendingSet()) {
+        Rule rule = path.charAt(length - 1) == '/' ? byPrefix.get(path.substring(0, length)) : null;
+        if (rule != null) {
+          return Optional.of(rule);
+        }
+      }
+      return Optional.empty();
+    }
+  }
+
+  private final Map<String, HostRules> byHost = new HashMap<>();
   private final DoubleSupplier random;
 
   /**
@@ -67,34 +92,21 @@
    */
   public HostRoutes(Iterable<Rule> rules, DoubleSupplier random) {
     for (Rule rule : rules) {
-      byHost.computeIfAbsent(rule.host(), host -> new HashMap<>()).put(rule.pathPrefix(), rule);
+      byHost.computeIfAbsent(rule.host(), host -> new HostRules()).add(rule);
     }
     this.random = random;
   }
 
   /** {@return the number of rules} */
   public int size() {
-    return byHost.values().stream().mapToInt(Map::size).sum();
+    return byHost.values().stream().mapToInt(rules -> rules.byPrefix.size()).sum();
   }
 
   @Override
   public Optional<Route> find(String method, String host, String path) {
-    Map<String, Rule> prefixes = byHost.get(Router.normalizedHost(host));
-    return prefixes == null
-        ? Optional.empty()
-        : longestMatch(prefixes, Router.pathWithoutQuery(path)).map(this::route);
-  }
-
-  private static Optional<Rule> longestMatch(Map<String, Rule> prefixes, String path) {
-    int end = path.lastIndexOf('/');
-    while (end >= 0) {
-      Rule rule = prefixes.get(path.substring(0, end + 1));
-      if (rule != null) {
-        return Optional.of(rule);
-      }
-      end = end == 0 ? -1 : path.lastIndexOf('/', end - 1);
-    }
-    return Optional.empty();
+    return Optional.ofNullable(byHost.get(Router.normalizedHost(host)))
+        .flatMap(rules -> rules.longestMatch(Router.pathWithoutQuery(path)))
+        .map(this::route);
   }
 
   private Route route(Rule rule) {
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/HostRoutesTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/caller/HostRoutesTests.java
@@ -12,6 +12,7 @@
 import org.amaranthmoor.model.RuleName;
 import org.amaranthmoor.model.ServiceName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -88,6 +89,21 @@
     assertEquals(1_000, toFew, 150);
   }
 
+  // The cost of a path grew with the square of its segments, and crowds of such paths ended nodes.
+  @Test
+  @Timeout(60)
+  void theCostOfAPathDoesNotGrowWithItsSegments() {
+    HostRoutes routes =
+        new HostRoutes(List.of(rule("short", "/p/"), rule("long", "/p/q/")), () -> 0);
+    String slashes = "/".repeat(16_000);
+
+    for (int i = 0; i < 20_000; i++) {
+      assertTrue(routes.find("GET", "a.example", "/a" + slashes).isEmpty());
+    }
+    assertEquals(
+        "short", routes.find("GET", "a.example", "/p" + slashes).orElseThrow().rule().value());
+  }
+
   @Test
   void manyRulesAreFoundByTheirPrefixes() {
     List<HostRoutes.Rule> rules = new ArrayList<>();
