Pass the target of a request on as it was received

Cause: HttpCore makes a URI of the target when a request is parsed and when it is written, and writes characters from 80 to 9F as question marks. Change: RequestHead keeps a target that begins with a slash, both kinds of connections write each character as the byte that it was read from, and a head with a control character or a name that is no token gets 400, since it could not be passed on unchanged before either.

--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ClientConnection.java
@@ -51,7 +51,7 @@
   }
 
   private ClientConnection(Http1Config head, CompleteHeadParser<ClassicHttpResponse> parser) {
-    super(head, null, null, null, null, null, config -> parser);
+    super(head, null, HeadCharacters.newEncoder(), null, null, null, config -> parser);
     this.parser = parser;
   }
 
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HeadCharacters.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/HeadCharacters.java
@@ -1,5 +1,7 @@
 package org.amaranthmoor.daemon.http;
 
+import java.nio.charset.CharsetEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.BitSet;
 
 /**
@@ -21,6 +23,16 @@
 
   private HeadCharacters() {}
 
+  /**
+   * Creates an encoder that writes each character as the byte that was read for it. Without one,
+   * HttpCore writes a question mark for a byte from 80 to 9F.
+   *
+   * @return the encoder, for one connection
+   */
+  static CharsetEncoder newEncoder() {
+    return StandardCharsets.ISO_8859_1.newEncoder();
+  }
+
   /** {@return whether the name of a field may have a character} */
   static boolean isTokenCharacter(char character) {
     return TOKEN.get(character);
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/RedactingHeadParser.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/RedactingHeadParser.java
@@ -12,8 +12,8 @@
  * Parses the heads of requests so that no failure repeats a line of the head, which may contain a
  * key.
  *
- * <p>HttpCore puts the line that it cannot parse into the message of the failure, and the message
- * into the response. Used by one thread at a time.
+ * <p>Rejects heads that cannot be passed on unchanged. HttpCore puts the line that it cannot parse
+ * into the message of the failure, and the message into the response. Used by one thread at a time.
  */
 final class RedactingHeadParser implements HttpMessageParser<ClassicHttpRequest> {
 
@@ -27,7 +27,11 @@
   public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in)
       throws IOException, HttpException {
     try {
-      return parser.parse(buffer, in);
+      ClassicHttpRequest request = parser.parse(buffer, in);
+      if (request != null) {
+        RequestHead.check(request);
+      }
+      return request;
     } catch (ParseException e) {
       throw new ParseException("a line of the request's head is not valid");
     }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/http/ServerConnection.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.http.io.SessionOutputBuffer;
+import org.apache.hc.core5.http.message.BasicLineParser;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.io.Closer;
 import org.apache.hc.core5.util.Timeout;
@@ -48,13 +49,24 @@
         config,
         headLimits,
         new CompleteHeadParser<>(
-            new RedactingHeadParser(new DefaultHttpRequestParserFactory(config).create()),
+            new RedactingHeadParser(
+                new DefaultHttpRequestParserFactory(
+                        config, BasicLineParser.INSTANCE, RequestHead.FACTORY)
+                    .create()),
             headLimits::limit));
   }
 
   private ServerConnection(
       Http1Config config, HeadLimits headLimits, CompleteHeadParser<ClassicHttpRequest> parser) {
-    super("http", config, null, null, null, null, parserConfig -> parser, null);
+    super(
+        "http",
+        config,
+        null,
+        HeadCharacters.newEncoder(),
+        null,
+        null,
+        parserConfig -> parser,
+        null);
     this.headLimits = headLimits;
     this.parser = parser;
   }
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/HealthCheckClient.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/HealthCheckClient.java
@@ -60,7 +60,8 @@
     boolean reusable = false;
     try {
       connection.setTimeoutNanos(TIMEOUT_NANOS);
-      BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", check.path());
+      BasicClassicHttpRequest request =
+          new BasicClassicHttpRequest("GET", null, null, check.path());
       request.setHeader("Host", check.address().toString());
       connection.sendRequestHeader(request);
       connection.flush();
--- a/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
+++ b/amaranthmoor-daemon/src/main/java/org/amaranthmoor/daemon/target/TargetExchange.java
@@ -240,7 +240,9 @@
   }
 
   private ClassicHttpRequest toHttp(CallRequest request) {
-    BasicClassicHttpRequest http = new BasicClassicHttpRequest(request.method(), request.path());
+    // Not as a URI, of which a path that begins with two slashes would lose its begin.
+    BasicClassicHttpRequest http =
+        new BasicClassicHttpRequest(request.method(), null, null, request.path());
     request.headers().forEach(header -> http.addHeader(header.name(), header.value()));
     long nanosLeft = request.deadlineNanos() - time.nanos();
     dialect.addCallHeaders(http, request, run, nanosLeft);
