Give a failing target without idempotent requests a way back

Cause: a failing target got trials only by idempotent requests. Change: a request that is not idempotent is a trial if there was no other for 2 s, and follows a refused connection as soon as an idempotent one, since it has not run. Where idempotent requests come, they are the trials, as before.

--- a/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetHealth.java
+++ b/amaranthmoor-core/src/main/java/org/amaranthmoor/target/TargetHealth.java
@@ -45,9 +45,9 @@
   private static final long TRIAL_INTERVAL_NANOS = 400_000_000L;
 
   /**
-   * Time between two trial requests of a closed rule that are not idempotent, in nanoseconds. Its
-   * requests may all be such, so that without these trials it would be closed for good; each may
-   * cost a caller its request.
+   * Time without any trial after which a request that is not idempotent serves as one, in
+   * nanoseconds. The requests of a rule, or of the target, may all be such, so that without these
+   * trials it would be closed for good; each may cost a caller its request.
    */
   private static final long UNSAFE_TRIAL_INTERVAL_NANOS = 2_000_000_000L;
 
@@ -60,20 +60,15 @@
     private boolean failing;
     private long nextTrialNanos;
     private long nextUnsafeTrialNanos;
-
-    boolean allowsUnsafeTrial(long nowNanos) {
-      if (nowNanos < nextUnsafeTrialNanos) {
-        return false;
-      }
-      nextUnsafeTrialNanos = nowNanos + UNSAFE_TRIAL_INTERVAL_NANOS;
-      return true;
-    }
+    private boolean hasIdempotentTrials;
 
     boolean allowsTrial(boolean idempotent, long nowNanos) {
-      if (!idempotent || nowNanos < nextTrialNanos) {
+      if (nowNanos < (idempotent ? nextTrialNanos : nextUnsafeTrialNanos)) {
         return false;
       }
       nextTrialNanos = nowNanos + TRIAL_INTERVAL_NANOS;
+      nextUnsafeTrialNanos = nowNanos + UNSAFE_TRIAL_INTERVAL_NANOS;
+      hasIdempotentTrials = idempotent;
       return true;
     }
 
@@ -91,7 +86,7 @@
 
     // Returns whether this has just recovered.
     boolean onSuccess(long nowNanos) {
-      nextUnsafeTrialNanos = nowNanos;
+      nextUnsafeTrialNanos = hasIdempotentTrials ? nextUnsafeTrialNanos : nowNanos;
       failures = failing ? failures / 2 : 0;
       boolean recovered = failing && failures < RECOVERED_FAILURES;
       failing = failing && !recovered;
@@ -171,9 +166,7 @@
     if (target.failing) {
       return target.allowsTrial(idempotent, nowNanos);
     }
-    return idempotent
-        ? breaker.allowsTrial(idempotent, nowNanos)
-        : breaker.allowsUnsafeTrial(nowNanos);
+    return breaker.allowsTrial(idempotent, nowNanos);
   }
 
   /**
@@ -265,7 +258,9 @@
     boolean before = target.failing;
     target.failing = true;
     target.failures = FAILURE_THRESHOLD;
+    // A request whose connection is refused has not run, so any may be the next trial.
     target.nextTrialNanos = nowNanos + CONNECTION_REFUSED_PAUSE_NANOS;
+    target.nextUnsafeTrialNanos = target.nextTrialNanos;
     closedToAll = true;
     return !before;
   }
--- a/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetHealthTests.java
+++ b/amaranthmoor-core/src/test/java/org/amaranthmoor/target/TargetHealthTests.java
@@ -78,6 +78,26 @@
       assertFalse(health.allowsRequest(false, SECOND));
     }
 
+    // A service without idempotent requests was closed for good once its target had hung.
+    @Test
+    void aRequestThatIsNotIdempotentIsATrialIfThereAreNoOthers() {
+      assertTrue(health.allowsRequest(false, 2 * SECOND));
+      assertFalse(health.allowsRequest(false, 2 * SECOND + 1));
+      health.onExchangeEnd(false, 3 * SECOND);
+      assertTrue(health.allowsRequest(false, 3 * SECOND));
+      health.onExchangeEnd(false, 3 * SECOND);
+
+      assertFalse(health.failing());
+    }
+
+    @Test
+    void aRequestThatIsNotIdempotentIsNoTrialWhileIdempotentOnesAre() {
+      for (int i = 1; i < 20; i++) {
+        assertTrue(health.allowsRequest(true, i * SECOND));
+        assertFalse(health.allowsRequest(false, i * SECOND + 1));
+      }
+    }
+
     @Test
     void successesRestoreTheTarget() {
       ends(10, false);
@@ -100,4 +120,12 @@
     assertFalse(health.allowsRequest(true, 0));
     assertTrue(health.allowsRequest(true, SECOND));
   }
+
+  @Test
+  void aTargetWithoutIdempotentRequestsThatRefusedAConnectionIsTriedAgainAfterAPause() {
+    health.onConnectionRefused(0);
+
+    assertFalse(health.allowsRequest(false, 0));
+    assertTrue(health.allowsRequest(false, SECOND));
+  }
 }
